--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: demo test prove check clean
+
+$(VENV)/.installed: pyproject.toml requirements.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $@
+
+demo: $(VENV)/.installed
+	$(BIN)/celeryfold demo
+
+test: $(VENV)/.installed
+	$(BIN)/python -m pytest
+
+prove: $(VENV)/.installed
+	HYPOTHESIS_PROFILE=prove $(BIN)/python -m pytest -m proof
+
+check: $(VENV)/.installed
+	$(BIN)/ruff format --check celeryfold
+	$(BIN)/ruff check celeryfold
+	$(BIN)/mypy celeryfold
+
+clean:
+	rm -rf $(VENV) build *.egg-info .pytest_cache .ruff_cache .mypy_cache .hypothesis
--- /dev/null
+++ b/celeryfold/__main__.py
@@ -0,0 +1,139 @@
+"""The command line: a click group whose commands import what they need when called."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+import click
+
+from . import __version__
+from .exceptions import BadInput
+
+EXIT_BAD_INPUT = 2
+FILE = click.Path(path_type=Path, dir_okay=False)
+FOLDER = click.Path(path_type=Path, file_okay=False, exists=True)
+
+
+class _Group(click.Group):
+    """Print errors of input as plain lines, with exit code 2."""
+
+    def invoke(self, ctx: click.Context) -> object:
+        try:
+            return super().invoke(ctx)
+        except BadInput as error:
+            click.echo(str(error), err=True)
+            sys.exit(EXIT_BAD_INPUT)
+        except ExceptionGroup as group:
+            bad_input = group.subgroup(BadInput)
+            if bad_input is None:
+                raise
+            for found in _flatten(bad_input):
+                click.echo(str(found), err=True)
+            sys.exit(EXIT_BAD_INPUT)
+
+
+def _flatten(group: BaseExceptionGroup[BaseException]) -> list[BaseException]:
+    found: list[BaseException] = []
+    for error in group.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            found += _flatten(error)
+        else:
+            found.append(error)
+    return found
+
+
+@click.group(cls=_Group)
+@click.version_option(__version__)
+def main() -> None:
+    """Celeryfold: a database proxy with session consistency."""
+
+
+@main.command()
+@click.option("--settings", type=FILE, required=True, help="JSON settings file.")
+def instance(settings: Path) -> None:
+    """Run an instance until SIGTERM."""
+    from .commands import instance as command
+
+    command.run(settings)
+
+
+@main.command()
+@click.argument("kind", type=click.Choice(["slot", "store", "list"]))
+@click.option("--settings", type=FILE, required=True, help="JSON settings file.")
+def standin(kind: str, settings: Path) -> None:
+    """Run a stand-in of an upstream slot, the store or the list."""
+    from .commands import standin as command
+
+    command.run(kind, settings)
+
+
+@main.command()
+@click.option("--json", "as_json", is_flag=True, help="End with one line of JSON.")
+@click.option("--seconds", default=12.0, show_default=True, help="Length of the run.")
+@click.option("--seed", default=1, show_default=True, help="Seed of the workload.")
+def demo(as_json: bool, seconds: float, seed: int) -> None:
+    """Run a whole deployment in one process and cut a primary off."""
+    from .commands import demo as command
+
+    sys.exit(command.run(as_json, seconds, seed))
+
+
+@main.command()
+@click.argument("folder", type=FOLDER)
+def check(folder: Path) -> None:
+    """Check a set of objects whole and print every error."""
+    from .commands import check as command
+
+    sys.exit(command.run(folder))
+
+
+@main.command()
+@click.argument("folder", type=FOLDER)
+@click.option("--store", required=True, help="IP number and port of the store.")
+@click.option("--based-on", type=int, help="The generation that you started from.")
+def submit(folder: Path, store: str, based_on: int | None) -> None:
+    """Check a set of objects and put it in force."""
+    from .commands import submit as command
+
+    sys.exit(command.run(folder, store, based_on))
+
+
+@main.command()
+@click.option("--operator", required=True, help="Operator address of an instance.")
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def status(operator: str, as_json: bool) -> None:
+    """Show the fleet and the groups as one instance sees them."""
+    from .commands import status as command
+
+    sys.exit(command.run(operator, as_json))
+
+
+@main.command()
+@click.option("--operator", "operators", multiple=True, required=True)
+@click.option("--subject", default="", help="A group, slot or instance.")
+@click.option("--request-id", default="", help="A request id.")
+def timeline(operators: tuple[str, ...], subject: str, request_id: str) -> None:
+    """Merge the events of instances into one ordered view."""
+    from .commands import timeline as command
+
+    sys.exit(command.run(operators, subject, request_id))
+
+
+@main.command()
+@click.argument("measure")
+@click.option("--deployment", default="cockle", show_default=True)
+@click.option("--seed", default=1, show_default=True)
+@click.option("--json", "as_json", is_flag=True, help="Print one line of JSON.")
+@click.option("--report", type=FILE, help="Write an HTML report with plots.")
+def bench(
+    measure: str, deployment: str, seed: int, as_json: bool, report: Path | None
+) -> None:
+    """Run a measure beside its baseline; `bench list` names them."""
+    from .commands import bench as command
+
+    sys.exit(command.run(measure, deployment, seed, as_json, report))
+
+
+if __name__ == "__main__":
+    main(prog_name="celeryfold")
--- /dev/null
+++ b/celeryfold/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load, faults and measures, run against the stand-ins."""
--- /dev/null
+++ b/celeryfold/bench/callers.py
@@ -0,0 +1,152 @@
+"""Callers that write marked rows, read them back elsewhere, and note what they saw."""
+
+from __future__ import annotations
+
+__all__ = ["Caller", "CallerDoor", "Fleet", "HttpDoor"]
+
+import random
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Sequence
+
+import msgspec
+import trio
+
+from ..entry.requests import Mode, StatementRequest, StatementResponse
+from ..kernel.errors import Ran
+from ..wire.answers import FailureBody
+from ..wire.client import HttpClient, Unanswered, Unreachable
+from .deployments import Workload
+from .history import History, ReadNote, WriteNote, WriteOutcome
+
+DEFAULT_RETRY_S = 0.2
+N_WRITE_TRIES = 40
+
+Fleet = Sequence["CallerDoor"]
+
+
+class CallerDoor(ABC):
+    """A way into the system, through one instance."""
+
+    @abstractmethod
+    async def send(
+        self, service: str, request: StatementRequest
+    ) -> StatementResponse | FailureBody | None:
+        """Send a statement; None where no answer came."""
+
+
+class HttpDoor(CallerDoor):
+    """Reach an instance over HTTP."""
+
+    def __init__(self, address: str, timeout_s: float = 5.0) -> None:
+        self._client = HttpClient(address)
+        self._timeout_s = timeout_s
+
+    async def send(
+        self, service: str, request: StatementRequest
+    ) -> StatementResponse | FailureBody | None:
+        """Send a statement; None where no answer came."""
+        path = f"/v1/services/{service}/statements"
+        body = msgspec.json.encode(request)
+        try:
+            with trio.fail_after(self._timeout_s):
+                response = await self._client.request("POST", path, body)
+        except Unreachable:
+            return FailureBody("unreachable", "nothing was sent", Ran.NO, 100)
+        except (Unanswered, trio.TooSlowError):
+            return None
+        if response.status == 200:
+            return msgspec.json.decode(response.body, type=StatementResponse)
+        return msgspec.json.decode(response.body, type=FailureBody)
+
+
+class Caller:
+    """One person's device: writes, roams to another instance, reads its own work.
+
+    :param find_group: names the group that holds an owner's data.
+    :param is_primary: tells whether a slot was the primary, for the replica share.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        doors: Fleet,
+        workload: Workload,
+        history: History,
+        rng: random.Random,
+        find_group: Callable[[str], str],
+        is_primary: Callable[[str], bool],
+    ) -> None:
+        self.name = name
+        self._doors = doors
+        self._workload = workload
+        self._history = history
+        self._rng = rng
+        self._find_group = find_group
+        self._is_primary = is_primary
+        self._session = ""
+        self._own: dict[str, set[str]] = {}
+        self._n_writes = 0
+
+    async def write(self, owner: str) -> WriteOutcome:
+        """Add a marked row under an idempotency key until the outcome is definite."""
+        self._n_writes += 1
+        marker = f"{self.name}-{self._n_writes}"
+        request = StatementRequest(
+            self._workload.insert,
+            (marker, owner, "2026-12-04"),
+            key=owner,
+            mode=Mode.WRITE,
+            idempotency_key=f"key-{marker}",
+            session=self._session,
+        )
+        outcome = WriteOutcome.NOT_RUN
+        began = trio.current_time()
+        for _ in range(N_WRITE_TRIES):
+            answer = await self._rng.choice(self._doors).send(
+                self._workload.service, request
+            )
+            if isinstance(answer, StatementResponse):
+                self._session = answer.session
+                self._own.setdefault(owner, set()).add(marker)
+                outcome = WriteOutcome.ACKNOWLEDGED
+                break
+            if answer is None or answer.ran is Ran.UNKNOWN:
+                outcome = WriteOutcome.UNKNOWN
+            elif answer.retry_after_ms is None:
+                break
+            await trio.sleep(_find_pause_s(answer))
+        ended = trio.current_time()
+        group = self._find_group(owner)
+        note = WriteNote(marker, owner, group, outcome, began, ended)
+        self._history.writes.append(note)
+        return outcome
+
+    async def read(self, owner: str, accepted_age_s: float) -> bool:
+        """Read an owner's rows through any instance; tell whether that worked."""
+        request = StatementRequest(
+            self._workload.lookup,
+            (owner,),
+            key=owner,
+            accepted_age_ms=int(accepted_age_s * 1000),
+            session=self._session,
+        )
+        began = trio.current_time()
+        own = frozenset(self._own.get(owner, ()))
+        answer = await self._rng.choice(self._doors).send(
+            self._workload.service, request
+        )
+        if not isinstance(answer, StatementResponse):
+            self._history.n_failed_reads += 1
+            await trio.sleep(_find_pause_s(answer))
+            return False
+        markers = frozenset(str(row[0]) for row in answer.rows)
+        from_replica = not self._is_primary(answer.slot)
+        note = ReadNote(owner, markers, own, began, accepted_age_s, from_replica)
+        self._history.reads.append(note)
+        return True
+
+
+def _find_pause_s(answer: FailureBody | StatementResponse | None) -> float:
+    if isinstance(answer, FailureBody) and answer.retry_after_ms is not None:
+        return answer.retry_after_ms / 1000.0
+    return DEFAULT_RETRY_S
--- /dev/null
+++ b/celeryfold/bench/deployments.py
@@ -0,0 +1,124 @@
+"""The two example deployments, read from the `examples` folder of a checkout."""
+
+from __future__ import annotations
+
+__all__ = ["Deployment", "load_deployment"]
+
+from dataclasses import dataclass
+from pathlib import Path
+
+from returns.result import Success
+
+from ..config.check import load_objects
+from ..config.objects import Catalog, ObjectSet
+from ..config.settings import SlotStandinSettings, load_settings
+from ..exceptions import BadInput
+from ..kernel.ids import ServiceId, SlotId
+from ..standins.slot import SlotShape
+
+EXAMPLES = Path(__file__).resolve().parents[2] / "examples"
+
+
+@dataclass(frozen=True)
+class Workload:
+    """Name the statements of a deployment.
+
+    :param service: the service that writes go to.
+    :param table: the table that grows by one marked row with each write.
+    :param owner: the column that says whose row it is.
+    """
+
+    service: ServiceId
+    table: str
+    owner: str
+    insert: str
+    lookup: str
+    census: str
+    tally: str
+
+
+@dataclass(frozen=True)
+class Deployment:
+    """Hold one deployment of the brief.
+
+    :param client_delay_s: one-way delay between callers and instances.
+    """
+
+    name: str
+    folder: Path
+    objects: ObjectSet
+    shapes: dict[SlotId, SlotShape]
+    workload: Workload
+    client_delay_s: float
+
+    @property
+    def catalog(self) -> Catalog:
+        """Look-ups over the objects."""
+        return Catalog(self.objects)
+
+
+def _make_workload(service: str, table: str, owner: str, day: str) -> Workload:
+    columns = f"marker, {owner}, {day}"
+    if table == "reports":
+        insert = f"INSERT INTO reports ({columns}, kind) VALUES (?, ?, ?, 'dam')"
+    else:
+        insert = f"INSERT INTO {table} ({columns}) VALUES (?, ?, ?)"
+    return Workload(
+        ServiceId(service),
+        table,
+        owner,
+        insert,
+        f"SELECT marker FROM {table} WHERE {owner} = ?",
+        f"SELECT marker, count(*) FROM {table} GROUP BY marker",
+        f"SELECT count(*), {owner} FROM {table} GROUP BY {owner} /* tally */",
+    )
+
+
+_WORKLOADS = {
+    "cockle": _make_workload("permits", "renewals", "permit_id", "renewed_on"),
+    "bogledger": _make_workload("reports", "reports", "project", "filed_on"),
+}
+_CLIENT_DELAYS_S = {"cockle": 0.001, "bogledger": 0.003}
+
+
+def load_deployment(name: str) -> Deployment:
+    """Read a deployment by name.
+
+    :raises BadInput: where there is none.
+    """
+    folder = EXAMPLES / name
+    if name not in _WORKLOADS or not folder.is_dir():
+        known = ", ".join(sorted(_WORKLOADS))
+        raise BadInput(f"{folder}: no deployment '{name}'; use one of {known}")
+    checked = load_objects(folder / "objects")
+    if not isinstance(checked, Success):
+        raise BadInput("\n".join(checked.failure().errors))
+    shapes = {}
+    for file in sorted((folder / "settings").glob("slot-*.json")):
+        settings = load_settings(file, SlotStandinSettings)
+        shapes[settings.slot] = make_shape(settings)
+    return Deployment(
+        name,
+        folder,
+        checked.unwrap(),
+        shapes,
+        _WORKLOADS[name],
+        _CLIENT_DELAYS_S[name],
+    )
+
+
+def make_shape(settings: SlotStandinSettings) -> SlotShape:
+    """Return the shape that the settings of a slot stand-in describe."""
+    schema: tuple[str, ...] = ()
+    if settings.schema_file is not None:
+        text = settings.schema_file.read_text()
+        schema = tuple(part.strip() for part in text.split(";") if part.strip())
+    return SlotShape(
+        settings.slot,
+        schema,
+        settings.connection_limit,
+        settings.connect_cost_ms / 1000.0,
+        settings.statement_cost_ms / 1000.0,
+        {text: work_ms / 1000.0 for text, work_ms in settings.work_ms.items()},
+        settings.lag_ms / 1000.0,
+    )
--- /dev/null
+++ b/celeryfold/bench/path.py
@@ -0,0 +1,149 @@
+"""Measure the whole path over processes against callers straight at a slot."""
+
+from __future__ import annotations
+
+__all__ = ["PathMeasure"]
+
+import tempfile
+from abc import ABC, abstractmethod
+from pathlib import Path
+
+import msgspec
+import trio
+
+from ..entry.requests import StatementRequest
+from ..kernel.ids import SlotId
+from ..platform.http_slot import HttpSlot
+from ..platform.slot import Connection, Statement
+from ..wire.client import HttpChannel
+from .processes import SERVICE, ProcessSite, SiteShape
+from .report import MEASURES, Figures, Measure, Report, divide, find_percentile
+
+N_CALLERS = 64
+N_SINGLE = 2_000
+N_PARALLEL = 12_000
+N_LONG_RUN = 100_000
+N_WARM_UP = 20_000
+LOOKUP = Statement("SELECT marker FROM entries WHERE owner = ?", ("nobody",))
+
+
+class _Client(ABC):
+    @abstractmethod
+    async def start(self) -> None:
+        """Connect."""
+
+    @abstractmethod
+    async def ask(self) -> None:
+        """Send one read and wait for its answer."""
+
+
+class _Straight(_Client):
+    def __init__(self, address: str) -> None:
+        self._slot = HttpSlot(SlotId("straight"), address)
+        self._connection: Connection | None = None
+
+    async def start(self) -> None:
+        self._connection = await self._slot.connect()
+
+    async def ask(self) -> None:
+        assert self._connection is not None
+        await self._connection.execute([LOOKUP], begin=True, commit=True)
+
+
+class _Through(_Client):
+    def __init__(self, address: str) -> None:
+        self._channel = HttpChannel(address)
+        request = StatementRequest(LOOKUP.text, LOOKUP.parameters, key="nobody")
+        self._body = msgspec.json.encode(request)
+
+    async def start(self) -> None:
+        await self._channel.start()
+
+    async def ask(self) -> None:
+        path = f"/v1/services/{SERVICE}/statements"
+        response = await self._channel.request("POST", path, self._body)
+        if response.status != 200:
+            raise RuntimeError(response.body.decode())
+
+
+async def _time_single(client: _Client) -> list[float]:
+    await client.start()
+    times = []
+    for _ in range(N_SINGLE):
+        began = trio.current_time()
+        await client.ask()
+        times.append(trio.current_time() - began)
+    return times
+
+
+async def _time_parallel(clients: list[_Client], n_requests: int) -> float:
+    for client in clients:
+        await client.start()
+    began = trio.current_time()
+
+    async def ask_many(client: _Client) -> None:
+        for _ in range(n_requests // len(clients)):
+            await client.ask()
+
+    async with trio.open_nursery() as nursery:
+        for client in clients:
+            nursery.start_soon(ask_many, client)
+    return n_requests / (trio.current_time() - began)
+
+
+class PathMeasure(Measure):
+    """Throughput, added latency and memory of one instance process."""
+
+    def run(self, deployment: str, seed: int) -> Report:
+        """Run on processes of its own; the deployment is not used."""
+        with tempfile.TemporaryDirectory() as folder:
+            shape = SiteShape(1, 1, 1, connection_limit=2 * N_CALLERS)
+            site = ProcessSite(Path(folder), shape)
+            try:
+                return trio.run(self._measure, site, seed)
+            finally:
+                site.close()
+
+    async def _measure(self, site: ProcessSite, seed: int) -> Report:
+        await site.start()
+        slot = next(iter(site.slots.values()))
+        caller = site.callers["i1"]
+        idle_mb = site.read_rss_mb("i1")
+        straight_s = await _time_single(_Straight(slot))
+        through_s = await _time_single(_Through(caller))
+        straight = [_Straight(slot) for _ in range(N_CALLERS)]
+        straight_rate = await _time_parallel(list(straight), N_PARALLEL)
+        through = [_Through(caller) for _ in range(N_CALLERS)]
+        through_rate = await _time_parallel(list(through), N_PARALLEL)
+        growth = await self._run_long(site, caller)
+        baseline = _describe(straight_s, straight_rate)
+        ours = _describe(through_s, through_rate) | growth
+        ours["idle_rss_mb"] = round(idle_mb, 1)
+        ours["added_p50_ms"] = round(ours["p50_ms"] - baseline["p50_ms"], 3)
+        ratio = divide(ours, baseline)
+        text = "the same callers straight at one slot, without any proxy"
+        return Report("path", "processes", seed, text, baseline, ours, ratio)
+
+    async def _run_long(self, site: ProcessSite, caller: str) -> Figures:
+        clients = [_Through(caller) for _ in range(N_CALLERS)]
+        await _time_parallel(list(clients), N_WARM_UP)
+        before_mb = site.read_rss_mb("i1")
+        clients = [_Through(caller) for _ in range(N_CALLERS)]
+        await _time_parallel(list(clients), N_LONG_RUN)
+        after_mb = site.read_rss_mb("i1")
+        return {
+            "rss_before_mb": round(before_mb, 1),
+            "rss_after_mb": round(after_mb, 1),
+            "rss_growth": round(after_mb / before_mb - 1, 4),
+        }
+
+
+def _describe(times: list[float], rate: float) -> Figures:
+    return {
+        "statements_a_second": round(rate, 1),
+        "p50_ms": round(find_percentile(times, 0.5) * 1000, 3),
+        "p99_ms": round(find_percentile(times, 0.99) * 1000, 3),
+    }
+
+
+MEASURES.add("path", PathMeasure)
--- /dev/null
+++ b/celeryfold/bench/processes.py
@@ -0,0 +1,324 @@
+"""A small deployment as separate processes, with the switches to make them fail."""
+
+from __future__ import annotations
+
+__all__ = ["ProcessSite", "SiteShape", "find_free_ports"]
+
+import json
+import signal
+import socket
+import subprocess
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import trio
+from returns.result import Success
+
+from ..config.objects import Catalog, ObjectSet
+from ..config.publishing import publish
+from ..entry.door import InstanceReport
+from ..exceptions import BadInput
+from ..groups.record import GroupRecord
+from ..home.outcomes import OUTCOME_TABLE
+from ..kernel.ids import GroupId, ServiceId
+from ..platform.http_store import HttpStore
+from ..platform.listing import ListedInstance, Listing
+from ..standins.faults import FaultsBody
+from ..wire.client import HttpClient, Unanswered, Unreachable
+from .deployments import Workload
+
+READY_TIMEOUT_S = 30.0
+READY_CHECK_S = 0.1
+PLACES = (("east-a", "east"), ("east-b", "east"))
+SERVICE = ServiceId("records")
+
+SCHEMA = (
+    "CREATE TABLE entries (marker TEXT NOT NULL, owner TEXT NOT NULL, day TEXT);"
+    f"CREATE INDEX entries_by_owner ON entries (owner);{OUTCOME_TABLE};"
+)
+
+WORKLOAD = Workload(
+    SERVICE,
+    "entries",
+    "owner",
+    "INSERT INTO entries (marker, owner, day) VALUES (?, ?, ?)",
+    "SELECT marker FROM entries WHERE owner = ?",
+    "SELECT marker, count(*) FROM entries GROUP BY marker",
+    "SELECT count(*) FROM entries /* tally */",
+)
+
+
+def find_free_ports(n_ports: int) -> list[int]:
+    """Return ports of the loopback address that are free now."""
+    sockets = [socket.socket() for _ in range(n_ports)]
+    for item in sockets:
+        item.bind(("127.0.0.1", 0))
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+@dataclass(frozen=True)
+class SiteShape:
+    """Say how many processes of each kind to run."""
+
+    n_instances: int = 3
+    n_groups: int = 1
+    n_slots: int = 3
+    connection_limit: int = 16
+    connect_cost_ms: float = 12.0
+    lag_ms: float = 2.0
+
+
+class ProcessSite:
+    """Hold the processes of a deployment.
+
+    :param folder: an empty folder for settings and logs.
+    """
+
+    def __init__(self, folder: Path, shape: SiteShape | None = None) -> None:
+        self.folder = folder
+        self.shape = shape or SiteShape()
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        n_slots = self.shape.n_groups * self.shape.n_slots
+        ports = find_free_ports(2 + 3 * self.shape.n_instances + n_slots)
+        self._ports = iter(ports)
+        self.store_address = self._take_address()
+        self.list_address = self._take_address()
+        self.callers: dict[str, str] = {}
+        self.operators: dict[str, str] = {}
+        self.peers: dict[str, str] = {}
+        self.slots: dict[str, str] = {}
+        self.objects = ObjectSet()
+
+    def _take_address(self) -> str:
+        return f"127.0.0.1:{next(self._ports)}"
+
+    async def start(self) -> None:
+        """Start all processes, publish the objects, wait for all primaries.
+
+        :raises BadInput: where they do not get ready.
+        """
+        self._start_platform()
+        self._start_slots()
+        await self._wait_answers([self.store_address, self.list_address])
+        await self._wait_answers(list(self.slots.values()))
+        for number in range(self.shape.n_instances):
+            name = f"i{number + 1}"
+            self.callers[name] = self._take_address()
+            self.operators[name] = self._take_address()
+            self.peers[name] = self._take_address()
+        await self._set_list()
+        for name in self.callers:
+            self.start_instance(name)
+        published = await publish(HttpStore(self.store_address), self.objects)
+        if not isinstance(published, Success):
+            raise BadInput(f"the objects could not be published: {published}")
+        await self.wait_ready(list(self.callers))
+
+    def _start_platform(self) -> None:
+        self._launch("store", "standin", "store", _listen(self.store_address))
+        self._launch("list", "standin", "list", _listen(self.list_address))
+
+    def _start_slots(self) -> None:
+        (self.folder / "schema.sql").write_text(SCHEMA)
+        groups = []
+        for group in range(self.shape.n_groups):
+            slots = []
+            for number in range(self.shape.n_slots):
+                name = f"db{group + 1}-{'abcdefgh'[number]}"
+                address = self.slots[name] = self._take_address()
+                slots.append(
+                    {
+                        "name": name,
+                        "place": PLACES[number % len(PLACES)][0],
+                        "address": address,
+                        "connection_limit": self.shape.connection_limit,
+                    }
+                )
+                self._start_slot(name, address)
+            groups.append({"name": f"db{group + 1}", "slots": slots})
+        self.objects = _make_objects(groups)
+
+    def _start_slot(self, name: str, address: str) -> None:
+        settings = {
+            "slot": name,
+            "schema_file": "schema.sql",
+            "connection_limit": self.shape.connection_limit,
+            "connect_cost_ms": self.shape.connect_cost_ms,
+            "lag_ms": self.shape.lag_ms,
+        }
+        self._launch(name, "standin", "slot", settings | _listen(address))
+
+    def start_instance(self, name: str) -> None:
+        """Start an instance, or start it anew under the same name."""
+        (self.folder / "session.key").write_text("bench")
+        number = int(name[1:]) - 1
+        settings = {
+            "instance": name,
+            "place": PLACES[number % len(PLACES)][0],
+            "caller": _split(self.callers[name]),
+            "peer": _split(self.peers[name]),
+            "operator": _split(self.operators[name]),
+            "store": _split(self.store_address),
+            "instance_list": _split(self.list_address),
+            "session_key_file": "session.key",
+        }
+        self._launch(name, "instance", "", settings)
+
+    def _launch(
+        self, name: str, command: str, kind: str, settings: dict[str, Any]
+    ) -> None:
+        file = self.folder / f"{name}.json"
+        file.write_text(json.dumps(settings))
+        words = [sys.executable, "-m", "celeryfold", command]
+        words += [kind] if kind else []
+        with (self.folder / f"{name}.log").open("ab") as log_file:
+            self.processes[name] = subprocess.Popen(
+                [*words, "--settings", str(file)], stderr=log_file, stdout=log_file
+            )
+
+    async def _set_list(self) -> None:
+        listed = [
+            ListedInstance(name, self.peers[name], PLACES[n % len(PLACES)][0])  # type: ignore[arg-type]
+            for n, name in enumerate(self.callers)
+        ]
+        body = msgspec.json.encode(Listing(tuple(listed)))
+        await _post(self.list_address, "/list", body)
+
+    async def _wait_answers(self, addresses: list[str]) -> None:
+        with trio.move_on_after(READY_TIMEOUT_S) as scope:
+            for address in addresses:
+                while not await _answers(address):
+                    await trio.sleep(READY_CHECK_S)
+        if scope.cancelled_caught:
+            raise BadInput(f"{self.folder}: a stand-in did not start; see its log")
+
+    async def wait_ready(self, names: list[str]) -> None:
+        """Return when instances know a started primary of each group.
+
+        :raises BadInput: where they do not in time.
+        """
+        with trio.move_on_after(READY_TIMEOUT_S) as scope:
+            for name in names:
+                while not await self._is_ready(name):
+                    await trio.sleep(READY_CHECK_S)
+        if scope.cancelled_caught:
+            raise BadInput(f"{self.folder}: not every group has a primary; see logs")
+
+    async def _is_ready(self, name: str) -> bool:
+        report = await self.fetch_report(name)
+        if report is None:
+            return False
+        started = [known for known in report.records if known.record.started]
+        return len(started) == self.shape.n_groups
+
+    async def fetch_report(self, name: str) -> InstanceReport | None:
+        """Return the state of an instance, or None where it does not answer."""
+        client = HttpClient(self.operators[name])
+        try:
+            with trio.fail_after(1.0):
+                response = await client.request("GET", "/v1/status")
+            return msgspec.json.decode(response.body, type=InstanceReport)
+        except (Unreachable, Unanswered, trio.TooSlowError):
+            return None
+        finally:
+            await client.close()
+
+    async def find_record(self, group: GroupId) -> GroupRecord:
+        """Return the latest record of a group that any instance knows."""
+        best: tuple[int, GroupRecord] | None = None
+        for name in self.callers:
+            report = await self.fetch_report(name)
+            for known in report.records if report else ():
+                if known.group == group and (best is None or known.revision > best[0]):
+                    best = (known.revision, known.record)
+        assert best is not None
+        return best[1]
+
+    async def set_faults(self, name: str, faults: FaultsBody) -> None:
+        """Set faults of a slot, the store or the list."""
+        addresses = self.slots | {
+            "store": self.store_address,
+            "list": self.list_address,
+        }
+        await _post(addresses[name], "/faults", msgspec.json.encode(faults))
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process."""
+        self.processes[name].send_signal(number)
+
+    def read_rss_mb(self, name: str) -> float:
+        """Return the resident memory of a process in megabytes."""
+        pid = self.processes[name].pid
+        for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+            if line.startswith("VmRSS"):
+                return int(line.split()[1]) / 1024
+        return 0.0
+
+    def read_cpu_s(self, name: str) -> float:
+        """Return the processor seconds that a process has used."""
+        pid = self.processes[name].pid
+        fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / 100.0
+
+    @property
+    def catalog(self) -> Catalog:
+        """Look-ups over the objects."""
+        return Catalog(self.objects)
+
+    def close(self) -> None:
+        """End every process."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
+
+
+def _split(address: str) -> dict[str, Any]:
+    host, _, port = address.partition(":")
+    return {"host": host, "port": int(port)}
+
+
+def _listen(address: str) -> dict[str, Any]:
+    return {"listen": _split(address)}
+
+
+def _make_objects(groups: list[dict[str, Any]]) -> ObjectSet:
+    return ObjectSet.model_validate(
+        {
+            "places": [{"name": name, "region": region} for name, region in PLACES],
+            "read_rules": [{"name": "recent", "accepted_age_ms": 5000}],
+            "upstream_groups": groups,
+            "services": [
+                {
+                    "name": SERVICE,
+                    "upstream_groups": [group["name"] for group in groups],
+                    "read_rule": "recent",
+                }
+            ],
+        }
+    )
+
+
+async def _answers(address: str) -> bool:
+    host, _, port = address.partition(":")
+    try:
+        stream = await trio.open_tcp_stream(host, int(port))
+    except OSError:
+        return False
+    await stream.aclose()
+    return True
+
+
+async def _post(address: str, path: str, body: bytes) -> None:
+    client = HttpClient(address)
+    try:
+        await client.request("POST", path, body)
+    finally:
+        await client.close()
--- /dev/null
+++ b/celeryfold/bench/site.py
@@ -0,0 +1,106 @@
+"""A whole deployment in one process, its roles talking over loopback TCP."""
+
+from __future__ import annotations
+
+__all__ = ["Site"]
+
+import trio
+from returns.result import Success
+
+from ..config.publishing import publish
+from ..config.settings import InstanceSettings, load_settings
+from ..daemon import InstanceDaemon
+from ..exceptions import BadInput
+from ..groups.book import KnownRecord
+from ..kernel.ids import GroupId, SlotId
+from ..platform.http_store import HttpStore
+from ..platform.listing import ListedInstance, Listing
+from ..standins.listing import ListEngine
+from ..standins.servers import HttpLogSource, serve_list, serve_slot, serve_store
+from ..standins.slot import SlotEngine
+from ..standins.store import StoreEngine
+from ..wire.client import split_address
+from .deployments import Deployment
+
+READY_TIMEOUT_S = 20.0
+READY_CHECK_S = 0.05
+
+
+class Site:
+    """Hold the stand-ins and instances of a deployment.
+
+    :param n_instances: how many instances to run, up to those with settings.
+    """
+
+    def __init__(self, deployment: Deployment, n_instances: int) -> None:
+        self.deployment = deployment
+        self.store = StoreEngine()
+        self.list = ListEngine()
+        self.slots: dict[SlotId, SlotEngine] = {}
+        folder = deployment.folder / "settings"
+        files = sorted(folder.glob("instance-*.json"))[:n_instances]
+        self.settings = [load_settings(file, InstanceSettings) for file in files]
+        self.daemons: list[InstanceDaemon] = []
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Start everything, publish the objects and wait for all primaries.
+
+        :raises BadInput: where a port is taken or the site does not get ready.
+        """
+        first = self.settings[0]
+        await serve_store(self.store, first.store.host, first.store.port, nursery)
+        list_at = first.instance_list
+        await serve_list(self.list, list_at.host, list_at.port, nursery)
+        for name, definition in self.deployment.catalog.slots.items():
+            engine = SlotEngine(self.deployment.shapes[name], HttpLogSource)
+            self.slots[name] = engine
+            host, port = split_address(definition.address)
+            await serve_slot(engine, host, port, nursery)
+        listed = [
+            ListedInstance(item.instance, item.peer.address, item.place)
+            for item in self.settings
+        ]
+        self.list.set(Listing(tuple(listed)))
+        for settings in self.settings:
+            daemon = InstanceDaemon(settings)
+            await daemon.start(nursery)
+            self.daemons.append(daemon)
+        store = HttpStore(first.store.address)
+        published = await publish(store, self.deployment.objects)
+        if not isinstance(published, Success):
+            raise BadInput(f"the objects could not be published: {published}")
+        with trio.move_on_after(READY_TIMEOUT_S) as scope:
+            while not self._is_ready():
+                await trio.sleep(READY_CHECK_S)
+        if scope.cancelled_caught:
+            raise BadInput("not every group has a primary; see the log")
+
+    def _is_ready(self) -> bool:
+        groups = self.deployment.catalog.groups
+        return all(
+            (known := daemon.instance.book.find(group)) is not None
+            and known.record.started
+            for daemon in self.daemons
+            for group in groups
+        )
+
+    def find_record(self, group: GroupId) -> KnownRecord:
+        """Return the latest record of a group that any instance knows."""
+        known = [daemon.instance.book.find(group) for daemon in self.daemons]
+        return max((k for k in known if k is not None), key=lambda k: k.revision)
+
+    def count_markers(self) -> dict[str, int]:
+        """Return how often each marker stands in the primaries."""
+        counts: dict[str, int] = {}
+        for group in self.deployment.catalog.groups:
+            primary = self.slots[self.find_record(group).record.primary]
+            rows = primary.database.execute(self.deployment.workload.census)
+            for marker, count in rows:
+                counts[marker] = counts.get(marker, 0) + count
+        return counts
+
+    async def close(self) -> None:
+        """Stop all instances gracefully."""
+        async with trio.open_nursery() as nursery:
+            for daemon in self.daemons:
+                nursery.start_soon(daemon.close)
--- /dev/null
+++ b/celeryfold/bench/world.py
@@ -0,0 +1,260 @@
+"""A whole deployment in one process over a local network, run on a mock clock."""
+
+from __future__ import annotations
+
+__all__ = ["LocalDoor", "World", "WorldShape", "run_world"]
+
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import TypeVar
+
+import msgspec
+import trio
+import trio.testing
+from returns.result import Success
+
+from ..config.objects import ObjectSet, SlotDefinition
+from ..config.publishing import publish
+from ..entry.requests import StatementRequest, StatementResponse
+from ..exceptions import RequestFailure
+from ..fleet.members import Member
+from ..groups.record import GroupRecord
+from ..instance import Instance, Platform
+from ..kernel.errors import Ran
+from ..kernel.events import HybridClock, Timeline
+from ..kernel.ids import GroupId, InstanceId, PlaceId, ServiceId, SlotId
+from ..kernel.metrics import Metrics
+from ..platform.listing import ListedInstance, Listing
+from ..platform.slot import Slot
+from ..standins.listing import ListEngine
+from ..standins.local import (
+    LIST_NAME,
+    STORE_NAME,
+    LocalLink,
+    LocalList,
+    LocalLogSource,
+    LocalSlot,
+    LocalStore,
+)
+from ..standins.network import LocalNetwork, NetworkShape
+from ..standins.slot import LogSource, SlotEngine, SlotShape
+from ..standins.store import StoreEngine
+from ..wire.answers import FailureBody, make_failure_body
+from .callers import CallerDoor
+
+T = TypeVar("T")
+
+SECRET = b"world"
+READY_S = 30.0
+STEP_S = 0.05
+
+
+@dataclass(frozen=True)
+class WorldShape:
+    """Describe a world.
+
+    :param places: the place of each instance, in order.
+    :param store_place: where the key-value service and the list are.
+    """
+
+    objects: ObjectSet
+    shapes: dict[SlotId, SlotShape]
+    places: tuple[PlaceId, ...]
+    store_place: PlaceId
+    client_delay_s: float = 0.001
+    list_lag_s: float = 0.0
+    seed: int = 1
+    extra_s: dict[str, float] = field(default_factory=dict)
+
+
+class World:
+    """Hold stand-ins, network and instances."""
+
+    def __init__(self, shape: WorldShape, nursery: trio.Nursery) -> None:
+        self.shape = shape
+        self.nursery = nursery
+        self.rng = random.Random(shape.seed)
+        regions = {place.name: place.region for place in shape.objects.places}
+        self.network = LocalNetwork(
+            NetworkShape(regions, extra_s=shape.extra_s), nursery
+        )
+        self.network.add(STORE_NAME, shape.store_place)
+        self.network.add(LIST_NAME, shape.store_place)
+        self.store = StoreEngine()
+        self.list = ListEngine(lag_s=shape.list_lag_s)
+        self.links: dict[str, LocalLink] = {}
+        self.slots: dict[SlotId, SlotEngine] = {}
+        self.instances: dict[InstanceId, Instance] = {}
+        self._scopes: dict[InstanceId, trio.CancelScope] = {}
+
+    async def start(self) -> None:
+        """Start everything and wait until each group has a primary everywhere."""
+        for group in self.shape.objects.upstream_groups:
+            for definition in group.slots:
+                self._start_slot(definition)
+        for number, place in enumerate(self.shape.places):
+            await self.start_instance(InstanceId(f"i{number + 1}"), place)
+        self._list_instances()
+        store = LocalStore(self.network, STORE_NAME, self.store)
+        published = await publish(store, self.shape.objects)
+        assert isinstance(published, Success)
+        with trio.fail_after(READY_S):
+            while not self.is_ready():
+                await trio.sleep(STEP_S)
+
+    def _start_slot(self, definition: SlotDefinition) -> None:
+        name = definition.name
+
+        def open_source(primary: SlotId, _address: str) -> LogSource:
+            return LocalLogSource(self.network, name, self.slots[primary])
+
+        shape = self.shape.shapes.get(name, SlotShape(name))
+        engine = SlotEngine(shape, open_source)
+        self.slots[name] = engine
+        self.network.add(name, definition.place)
+        self.nursery.start_soon(engine.run)
+
+    def _list_instances(self) -> None:
+        listed = [
+            ListedInstance(
+                instance.instance_id,
+                instance.membership.me.address,
+                instance.membership.me.place,
+            )
+            for instance in self.instances.values()
+        ]
+        self.list.set(Listing(tuple(listed)))
+
+    async def start_instance(self, name: InstanceId, place: PlaceId) -> Instance:
+        """Start an instance."""
+        self.network.add(name, place)
+
+        def open_slot(definition: SlotDefinition) -> Slot:
+            return LocalSlot(self.network, name, self.slots[definition.name])
+
+        platform = Platform(
+            LocalStore(self.network, name, self.store),
+            LocalList(self.network, name, self.list),
+            open_slot,
+        )
+        clock = HybridClock(trio.current_time)
+        incarnation = int(trio.current_time() * 1000)
+        member = Member(name, name, place, incarnation=incarnation)
+        link = LocalLink(self.network, name, self.links)
+        instance = Instance(
+            member, platform, link, SECRET, Timeline(name, clock), Metrics()
+        )
+        instance.membership.rng.seed(self.rng.random())
+        self.instances[name] = instance
+        await self.nursery.start(self._run_instance, instance)
+        return instance
+
+    async def _run_instance(
+        self, instance: Instance, task_status: trio.TaskStatus[None]
+    ) -> None:
+        async with trio.open_nursery() as nursery:
+            self._scopes[instance.instance_id] = nursery.cancel_scope
+            await instance.start(nursery)
+            task_status.started()
+
+    def kill(self, name: InstanceId) -> None:
+        """End an instance at once, as kill -9 would."""
+        self.links.pop(name, None)
+        self._scopes.pop(name).cancel()
+        instance = self.instances.pop(name)
+        for pool in instance.home.pools.values():
+            self.nursery.start_soon(pool.close)
+        self.nursery.start_soon(instance.home.transactions.close)
+
+    async def stop(self, name: InstanceId, drain_s: float = 10.0) -> None:
+        """End an instance gracefully."""
+        instance = self.instances.pop(name)
+        await instance.leave(drain_s)
+        await instance.home.close()
+        await instance.link.close()
+        self._scopes.pop(name).cancel()
+
+    def is_ready(self) -> bool:
+        """Tell whether each group has a primary that every instance knows."""
+        for instance in self.instances.values():
+            for group in self.shape.objects.upstream_groups:
+                known = instance.book.find(group.name)
+                if known is None or not known.record.started:
+                    return False
+        return True
+
+    def find_record(self, group: GroupId) -> GroupRecord:
+        """Return the latest record of a group that an instance knows."""
+        known = [item.book.find(group) for item in self.instances.values()]
+        latest = max((k for k in known if k is not None), key=lambda k: k.revision)
+        return latest.record
+
+    def make_doors(self) -> list[LocalDoor]:
+        """Return a door to each live instance."""
+        return [LocalDoor(self, name) for name in self.instances]
+
+    def count(self, counter: str) -> int:
+        """Return a counter summed over the live instances."""
+        return sum(i.metrics.counters[counter] for i in self.instances.values())
+
+    def count_markers(self, census: str) -> dict[str, int]:
+        """Return how often each marker stands in the primaries."""
+        counts: dict[str, int] = {}
+        for group in self.shape.objects.upstream_groups:
+            primary = self.slots[self.find_record(group.name).primary]
+            for marker, count in primary.database.execute(census):
+                counts[marker] = counts.get(marker, 0) + count
+        return counts
+
+
+class LocalDoor(CallerDoor):
+    """Reach an instance of a world."""
+
+    def __init__(self, world: World, name: InstanceId, timeout_s: float = 5.0) -> None:
+        self._world = world
+        self.name = name
+        self._timeout_s = timeout_s
+
+    async def send(
+        self, service: str, request: StatementRequest
+    ) -> StatementResponse | FailureBody | None:
+        """Send a statement; None where no answer came."""
+        instance = self._world.instances.get(self.name)
+        delay_s = self._world.shape.client_delay_s
+        await trio.sleep(delay_s)
+        if instance is None:
+            return FailureBody("unreachable", "nothing was sent", Ran.NO, 100)
+        outcome: list[StatementResponse | FailureBody] = []
+        done = trio.Event()
+
+        async def serve() -> None:
+            try:
+                answer = await instance.entry.run_statement(ServiceId(service), request)
+                outcome.append(answer)
+            except RequestFailure as failure:
+                outcome.append(make_failure_body(failure))
+            done.set()
+
+        self._world.nursery.start_soon(serve)
+        with trio.move_on_after(self._timeout_s):
+            await done.wait()
+        await trio.sleep(delay_s)
+        if not outcome or self.name not in self._world.instances:
+            return None
+        return msgspec.structs.replace(outcome[0])
+
+
+def run_world(shape: WorldShape, use: Callable[[World], Awaitable[T]]) -> T:
+    """Start a world on a mock clock, use it, and return what that returns."""
+
+    async def run() -> T:
+        async with trio.open_nursery() as nursery:
+            world = World(shape, nursery)
+            await world.start()
+            result = await use(world)
+            nursery.cancel_scope.cancel()
+        return result
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return trio.run(run, clock=clock)
--- /dev/null
+++ b/celeryfold/commands/__init__.py
@@ -0,0 +1,1 @@
+"""What each command of the command line does."""
--- /dev/null
+++ b/celeryfold/commands/bench.py
@@ -0,0 +1,47 @@
+"""The command ``bench``."""
+
+from __future__ import annotations
+
+__all__ = ["run"]
+
+import importlib
+from pathlib import Path
+
+import click
+import msgspec
+
+from ..bench.report import MEASURES, Report
+from ..kernel.logs import start_logging
+
+MODULES = ("path",)
+
+
+def run(
+    measure: str, deployment: str, seed: int, as_json: bool, report_file: Path | None
+) -> int:
+    """Run a measure and print its figures; return the exit code."""
+    start_logging("ERROR", "bench")
+    for module in MODULES:
+        importlib.import_module(f"celeryfold.bench.{module}")
+    if measure == "list":
+        click.echo("\n".join(MEASURES.names()))
+        return 0
+    report = MEASURES.find(measure)().run(deployment, seed)
+    if report_file is not None:
+        report_file.write_bytes(msgspec.json.format(msgspec.json.encode(report)))
+    if as_json:
+        click.echo(msgspec.json.encode(report).decode())
+    else:
+        _print_table(report)
+    return 0
+
+
+def _print_table(report: Report) -> None:
+    click.echo(f"{report.measure} ({report.deployment}, seed {report.seed})")
+    click.echo(f"baseline: {report.baseline_is}")
+    click.echo(f"  {'figure':<28}{'baseline':>14}{'celeryfold':>14}{'ratio':>10}")
+    for name in report.celeryfold | report.baseline:
+        theirs = report.baseline.get(name, "-")
+        ours = report.celeryfold.get(name, "-")
+        ratio = report.ratio.get(name, "")
+        click.echo(f"  {name:<28}{theirs!s:>14}{ours!s:>14}{ratio!s:>10}")
--- /dev/null
+++ b/celeryfold/commands/demo.py
@@ -0,0 +1,139 @@
+"""The command ``demo``: a deployment under load that loses a primary on the way."""
+
+from __future__ import annotations
+
+__all__ = ["run"]
+
+import random
+
+import click
+import msgspec
+import trio
+
+from ..bench.callers import Caller, HttpDoor
+from ..bench.deployments import load_deployment
+from ..bench.history import History, Verdict
+from ..bench.site import Site
+from ..kernel.ids import GroupId
+from ..kernel.logs import start_logging
+
+N_INSTANCES = 6
+N_CALLERS = 12
+PAUSE_S = 0.02
+CUT_AFTER_SHARE = 0.3
+HEAL_AFTER_SHARE = 0.75
+CUT_GROUP = GroupId("permits-1")
+ACCEPTED_AGES_S = (1.0, 5.0, 10.0)
+
+
+class _Demo:
+    def __init__(self, site: Site, seconds: float, seed: int) -> None:
+        self.site = site
+        self.seconds = seconds
+        self.rng = random.Random(seed)
+        self.history = History()
+        self.cut_at = 0.0
+        self.doors = [HttpDoor(s.caller.address) for s in site.settings]
+        self.catalog = site.deployment.catalog
+        self.service = self.catalog.services[site.deployment.workload.service]
+
+    def find_group(self, owner: str) -> GroupId:
+        return self.catalog.find_group(self.service, owner).name
+
+    def is_primary(self, slot: str) -> bool:
+        group = next(g for s, g in self.catalog.group_of_slot.items() if s == slot)
+        return self.site.find_record(group).record.primary == slot
+
+    async def run_caller(self, number: int, ends_at: float) -> None:
+        rng = random.Random(self.rng.random())
+        caller = Caller(
+            f"picker{number}",
+            self.doors,
+            self.site.deployment.workload,
+            self.history,
+            rng,
+            self.find_group,
+            self.is_primary,
+        )
+        owners = [f"permit-{number}-{i}" for i in range(3)]
+        while trio.current_time() < ends_at:
+            owner = rng.choice(owners)
+            if rng.random() < 0.25:
+                await caller.write(owner)
+            other = f"permit-{rng.randrange(N_CALLERS)}-{rng.randrange(3)}"
+            await caller.read(owner, rng.choice(ACCEPTED_AGES_S))
+            await caller.read(other, rng.choice(ACCEPTED_AGES_S))
+            await trio.sleep(PAUSE_S)
+
+    async def cut_primary(self) -> None:
+        await trio.sleep(self.seconds * CUT_AFTER_SHARE)
+        primary = self.site.find_record(CUT_GROUP).record.primary
+        _say(f"cutting off {primary}, primary of {CUT_GROUP}")
+        self.cut_at = trio.current_time()
+        self.site.slots[primary].faults.cut = True
+        await trio.sleep(self.seconds * (HEAL_AFTER_SHARE - CUT_AFTER_SHARE))
+        _say(f"{primary} can be reached again")
+        self.site.slots[primary].faults.cut = False
+
+    async def show_progress(self) -> None:
+        while True:
+            await trio.sleep(2.0)
+            n_writes = len(self.history.writes)
+            n_reads = len(self.history.reads)
+            _say(f"{n_writes} renewals, {n_reads} checks so far")
+
+    async def run(self) -> Verdict:
+        ends_at = trio.current_time() + self.seconds
+        async with trio.open_nursery() as side:
+            side.start_soon(self.show_progress)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.cut_primary)
+                for number in range(N_CALLERS):
+                    nursery.start_soon(self.run_caller, number, ends_at)
+            side.cancel_scope.cancel()
+        gap_s = self.history.find_gap_s(CUT_GROUP, self.cut_at)
+        return self.history.judge(self.site.count_markers(), [gap_s])
+
+
+def _say(text: str) -> None:
+    click.echo(text, err=True)
+
+
+async def _run(seconds: float, seed: int) -> Verdict:
+    site = Site(load_deployment("cockle"), N_INSTANCES)
+    async with trio.open_nursery() as nursery:
+        _say(f"starting {N_INSTANCES} instances and their upstreams on loopback")
+        await site.start(nursery)
+        _say("every group has a primary; callers start")
+        verdict = await _Demo(site, seconds, seed).run()
+        await site.close()
+        nursery.cancel_scope.cancel()
+    return verdict
+
+
+def run(as_json: bool, seconds: float, seed: int) -> int:
+    """Run the demo; return 0 only if every promise was held."""
+    start_logging("ERROR", "demo")
+    verdict = trio.run(_run, seconds, seed)
+    _print_table(verdict)
+    if as_json:
+        click.echo(msgspec.json.encode(verdict).decode())
+    return 0 if verdict.is_good else 1
+
+
+def _print_table(verdict: Verdict) -> None:
+    rows = [
+        ("requests", verdict.n_requests),
+        ("acknowledged writes", verdict.n_acknowledged),
+        ("lost", verdict.n_lost),
+        ("doubled", verdict.n_doubled),
+        ("stale reads", verdict.n_stale_reads),
+        ("false 'not run'", verdict.n_false_not_run),
+        ("outcome unknown", verdict.n_unknown),
+        ("replica share of reads", f"{verdict.replica_read_share:.1%}"),
+        ("failover gap, seconds", verdict.failover_gap_s),
+    ]
+    _say("")
+    for name, value in rows:
+        _say(f"  {name:<24}{value}")
+    _say(f"\nevery promise held: {'yes' if verdict.is_good else 'NO'}")
--- /dev/null
+++ b/celeryfold/commands/instance.py
@@ -0,0 +1,20 @@
+"""The command ``instance``."""
+
+from __future__ import annotations
+
+__all__ = ["run"]
+
+from pathlib import Path
+
+import trio
+
+from ..config.settings import InstanceSettings, load_settings
+from ..daemon import run_instance
+from ..kernel.logs import start_logging
+
+
+def run(file: Path) -> None:
+    """Run an instance until it is told to stop."""
+    settings = load_settings(file, InstanceSettings)
+    start_logging(settings.log_level, settings.instance)
+    trio.run(run_instance, settings)
--- /dev/null
+++ b/celeryfold/commands/status.py
@@ -0,0 +1,57 @@
+"""The command ``status``."""
+
+from __future__ import annotations
+
+__all__ = ["fetch", "run"]
+
+import click
+import msgspec
+import trio
+
+from ..entry.door import InstanceReport
+from ..exceptions import BadInput
+from ..wire.client import HttpClient, Unanswered, Unreachable
+
+TIMEOUT_S = 3.0
+
+
+async def fetch(address: str, path: str) -> bytes:
+    """Return what an instance answers on its operator port.
+
+    :raises BadInput: where it does not answer.
+    """
+    client = HttpClient(address)
+    try:
+        with trio.fail_after(TIMEOUT_S):
+            response = await client.request("GET", path)
+    except (Unanswered, Unreachable, trio.TooSlowError) as error:
+        text = f"--operator {address}: no instance answers there; check the address"
+        raise BadInput(text) from error
+    finally:
+        await client.close()
+    return response.body
+
+
+def run(address: str, as_json: bool) -> int:
+    """Print the state of an instance; return the exit code."""
+    body = trio.run(fetch, address, "/v1/status")
+    if as_json:
+        click.echo(body.decode())
+        return 0
+    report = msgspec.json.decode(body, type=InstanceReport)
+    click.echo(f"instance {report.instance}, generation {report.generation}")
+    for member in report.members:
+        click.echo(
+            f"  {member.instance_id:<16} {member.place:<12} {member.state.value}"
+        )
+    for known in report.records:
+        record = known.record
+        state = "started" if record.started else "starting"
+        confirming = ", ".join(sorted(record.confirming))
+        click.echo(
+            f"  {known.group:<16} term {record.term} ({state}) primary "
+            f"{record.primary}, confirmed by {confirming}"
+        )
+    for slot in report.leaving_slots:
+        click.echo(f"  {slot} is leaving")
+    return 0
--- /dev/null
+++ b/celeryfold/commands/submit.py
@@ -0,0 +1,40 @@
+"""The command ``submit``."""
+
+from __future__ import annotations
+
+__all__ = ["run"]
+
+from pathlib import Path
+
+import click
+import trio
+from returns.result import Success
+
+from ..config.check import load_objects
+from ..config.publishing import Conflict, publish
+from ..kernel.ids import Generation
+from ..platform.http_store import HttpStore
+from .check import print_report
+
+
+def run(folder: Path, store: str, based_on: int | None) -> int:
+    """Check and publish a folder; return the exit code."""
+    checked = load_objects(folder)
+    if not isinstance(checked, Success):
+        print_report(checked.failure())
+        return 2
+    base = Generation(based_on) if based_on is not None else None
+    result = trio.run(publish, HttpStore(store), checked.unwrap(), base)
+    if isinstance(result, Success):
+        pointer = result.unwrap()
+        click.echo(f"generation {pointer.generation} accepted ({pointer.digest})")
+        return 0
+    failure = result.failure()
+    if isinstance(failure, Conflict):
+        generation = failure.current.generation
+        click.echo(f"conflict: generation {generation} came first", err=True)
+        for name in failure.changed:
+            click.echo(f"  differs: {name}", err=True)
+        return 1
+    click.echo(failure.text, err=True)
+    return 1
--- /dev/null
+++ b/celeryfold/config/check.py
@@ -0,0 +1,148 @@
+"""Check settings and object sets whole: every error and warning, not the first."""
+
+from __future__ import annotations
+
+__all__ = ["CheckReport", "check_objects", "describe_errors", "load_objects"]
+
+import json
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from pydantic import ValidationError
+from returns.result import Failure, Result, Success
+
+from ..kernel.registry import Registry
+from ..platform.slot import SLOT_DRIVERS, Slot
+from .objects import Confirm, ObjectSet
+
+SECTIONS = ("places", "read_rules", "upstream_groups", "services")
+MAX_SET_BYTES = 1_000_000
+
+
+@dataclass
+class CheckReport:
+    """Hold all that was found wrong.
+
+    :param errors: reasons for which the input cannot be used.
+    :param warnings: what is probably not meant.
+    """
+
+    errors: list[str] = field(default_factory=list)
+    warnings: list[str] = field(default_factory=list)
+
+
+def describe_errors(source: str, error: ValidationError) -> list[str]:
+    """Return one line for each invalid field: file, field and mend."""
+    lines = []
+    for detail in error.errors():
+        path = ".".join(str(part) for part in detail["loc"]) or "(top level)"
+        if detail["type"] == "extra_forbidden":
+            text = "unknown key; remove it or mend its spelling"
+        elif detail["type"] == "missing":
+            text = "missing; add it"
+        else:
+            text = f"{detail['msg']}; got {detail['input']!r:.60}"
+        lines.append(f"{source}: {path}: {text}")
+    return lines
+
+
+def load_objects(folder: Path) -> Result[ObjectSet, CheckReport]:
+    """Read every ``*.json`` file of a folder as parts of one set and check it."""
+    report = CheckReport()
+    merged: dict[str, list[Any]] = {section: [] for section in SECTIONS}
+    files = sorted(folder.glob("*.json"))
+    if not files:
+        report.errors.append(f"{folder}: no *.json file; put the objects there")
+    for file in files:
+        _read_part(file, merged, report)
+    if report.errors:
+        return Failure(report)
+    try:
+        objects = ObjectSet.model_validate(merged)
+    except ValidationError as error:
+        report.errors.extend(describe_errors(str(folder), error))
+        return Failure(report)
+    found = check_objects(objects, str(folder))
+    return Failure(found) if found.errors else Success(objects)
+
+
+def _read_part(file: Path, merged: dict[str, list[Any]], report: CheckReport) -> None:
+    try:
+        content = json.loads(file.read_bytes())
+    except (OSError, ValueError) as error:
+        report.errors.append(f"{file}: not readable as JSON: {error}")
+        return
+    if not isinstance(content, dict):
+        report.errors.append(f"{file}: (top level): write an object with sections")
+        return
+    for section, items in content.items():
+        if section not in SECTIONS:
+            known = ", ".join(SECTIONS)
+            report.errors.append(f"{file}: {section}: unknown key; use one of {known}")
+        elif not isinstance(items, list):
+            report.errors.append(f"{file}: {section}: write a list of objects")
+        else:
+            merged[section].extend(items)
+
+
+def check_objects(
+    objects: ObjectSet,
+    source: str = "object set",
+    drivers: Registry[Slot] = SLOT_DRIVERS,
+) -> CheckReport:
+    """Check that names are unique and that every reference is met."""
+    report = CheckReport()
+    _check_names(objects, source, report)
+    places = {place.name: place.region for place in objects.places}
+    groups = {group.name for group in objects.upstream_groups}
+    rules = {rule.name for rule in objects.read_rules}
+    for group in objects.upstream_groups:
+        for slot in group.slots:
+            field_name = f"{source}: upstream_groups.{group.name}.{slot.name}"
+            if slot.place not in places:
+                text = f"place '{slot.place}' is not defined; add it to places"
+                report.errors.append(f"{field_name}: {text}")
+            if slot.driver not in drivers.names():
+                known = ", ".join(drivers.names())
+                text = f"driver '{slot.driver}' is unknown; use one of {known}"
+                report.errors.append(f"{field_name}: {text}")
+        regions = {places.get(slot.place) for slot in group.slots}
+        if group.confirm is Confirm.ALL and len(regions) > 1:
+            text = "each write waits for the link between regions"
+            report.warnings.append(f"{source}: upstream_groups.{group.name}: {text}")
+    for service in objects.services:
+        field_name = f"{source}: services.{service.name}"
+        if service.read_rule not in rules:
+            text = f"read rule '{service.read_rule}' is not defined"
+            report.errors.append(f"{field_name}: {text}; add it to read_rules")
+        for name in service.upstream_groups:
+            if name not in groups:
+                text = f"upstream group '{name}' is not defined"
+                report.errors.append(f"{field_name}: {text}; add it")
+    used = {name for service in objects.services for name in service.upstream_groups}
+    for name in sorted(groups - used):
+        text = "no service uses this group"
+        report.warnings.append(f"{source}: upstream_groups.{name}: {text}")
+    n_bytes = len(objects.model_dump_json())
+    if n_bytes > MAX_SET_BYTES:
+        text = f"the set takes {n_bytes} bytes, over {MAX_SET_BYTES}; make it smaller"
+        report.errors.append(f"{source}: {text}")
+    return report
+
+
+def _check_names(objects: ObjectSet, source: str, report: CheckReport) -> None:
+    slots = [slot.name for group in objects.upstream_groups for slot in group.slots]
+    named: dict[str, list[str]] = {
+        "places": [str(place.name) for place in objects.places],
+        "read_rules": [rule.name for rule in objects.read_rules],
+        "upstream_groups": [str(group.name) for group in objects.upstream_groups],
+        "services": [str(service.name) for service in objects.services],
+        "slots": [str(name) for name in slots],
+    }
+    for section, names in named.items():
+        for name, n_uses in Counter(names).items():
+            if n_uses > 1:
+                text = f"the name is used {n_uses} times; rename all but one"
+                report.errors.append(f"{source}: {section}.{name}: {text}")
--- /dev/null
+++ b/celeryfold/config/publishing.py
@@ -0,0 +1,173 @@
+"""Publish sets of objects; one pointer in the key-value service says which holds."""
+
+from __future__ import annotations
+
+__all__ = [
+    "CURRENT_KEY",
+    "Conflict",
+    "Pointer",
+    "SubmitFailure",
+    "Unavailable",
+    "encode_set",
+    "find_differences",
+    "load_set",
+    "make_digest",
+    "publish",
+    "read_pointer",
+]
+
+import secrets
+from dataclasses import dataclass
+
+import msgspec
+import xxhash
+from returns.result import Failure, Result, Success
+
+from ..kernel.ids import Generation
+from ..platform.store import Store, StoreConflict, StoreEntry, StoreUnavailable
+from .objects import ObjectSet
+
+CURRENT_KEY = "celeryfold/current"
+SET_PREFIX = "celeryfold-sets/"
+N_READS_AFTER_LOST_ANSWER = 5
+
+
+class Pointer(msgspec.Struct, frozen=True):
+    """Say which set is in force.
+
+    :param submission: chosen by the submitter, to know its own write again.
+    """
+
+    generation: Generation
+    digest: str
+    submission: str
+
+
+@dataclass(frozen=True)
+class Conflict:
+    """Tell a submitter that another submission came first.
+
+    :param changed: names of objects that differ from those the submitter started from.
+    """
+
+    current: Pointer
+    changed: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True)
+class Unavailable:
+    """Tell a submitter that the store gave no answer."""
+
+    text: str
+
+
+SubmitFailure = Conflict | Unavailable
+
+
+def make_digest(content: bytes) -> str:
+    """Return the content hash under which a set is kept."""
+    return xxhash.xxh3_128_hexdigest(content)
+
+
+def encode_set(objects: ObjectSet) -> bytes:
+    """Return the bytes of a set, the same for equal sets."""
+    return objects.model_dump_json().encode()
+
+
+def read_pointer(entry: StoreEntry | None) -> Pointer | None:
+    """Return the pointer in a store entry."""
+    if entry is None:
+        return None
+    return msgspec.json.decode(entry.value, type=Pointer)
+
+
+async def load_set(store: Store, digest: str) -> bytes | None:
+    """Return the content of a set, or None where the store has none.
+
+    :raises StoreUnavailable: where the store does not answer.
+    """
+    entry = await store.get(SET_PREFIX + digest)
+    return entry.value if entry is not None else None
+
+
+async def publish(
+    store: Store, objects: ObjectSet, based_on: Generation | None = None
+) -> Result[Pointer, SubmitFailure]:
+    """Put a checked set in force.
+
+    :param based_on: the generation that the submitter had read; any if None.
+    :returns: the pointer now in force, or why the set is not.
+    """
+    submission = secrets.token_hex(8)
+    content = encode_set(objects)
+    digest = make_digest(content)
+    try:
+        current = await store.get(CURRENT_KEY)
+        pointer = read_pointer(current)
+        generation = pointer.generation if pointer else Generation(0)
+        if based_on is not None and generation != based_on and pointer is not None:
+            return Failure(await _describe_conflict(store, objects, pointer))
+        await _put_set(store, digest, content)
+    except StoreUnavailable as error:
+        return Failure(Unavailable(f"nothing was published: {error}"))
+    proposed = Pointer(Generation(generation + 1), digest, submission)
+    value = msgspec.json.encode(proposed)
+    try:
+        await store.compare_and_swap(
+            CURRENT_KEY, current.revision if current else 0, value
+        )
+    except StoreConflict:
+        return await _read_back(store, proposed, objects)
+    except StoreUnavailable:
+        return await _read_back(store, proposed, objects)
+    return Success(proposed)
+
+
+async def _put_set(store: Store, digest: str, content: bytes) -> None:
+    try:
+        await store.compare_and_swap(SET_PREFIX + digest, 0, content)
+    except StoreConflict:
+        return
+
+
+async def _read_back(
+    store: Store, proposed: Pointer, objects: ObjectSet
+) -> Result[Pointer, SubmitFailure]:
+    for _ in range(N_READS_AFTER_LOST_ANSWER):
+        try:
+            pointer = read_pointer(await store.get(CURRENT_KEY))
+        except StoreUnavailable:
+            continue
+        if pointer is None or pointer.generation < proposed.generation:
+            break
+        if pointer.submission == proposed.submission:
+            return Success(proposed)
+        return Failure(await _describe_conflict(store, objects, pointer))
+    text = "the outcome is not known; run status before submitting again"
+    return Failure(Unavailable(text))
+
+
+async def _describe_conflict(
+    store: Store, objects: ObjectSet, pointer: Pointer
+) -> Conflict:
+    try:
+        content = await load_set(store, pointer.digest)
+    except StoreUnavailable:
+        content = None
+    if content is None:
+        return Conflict(pointer)
+    theirs = ObjectSet.model_validate_json(content)
+    return Conflict(pointer, find_differences(objects, theirs))
+
+
+def find_differences(ours: ObjectSet, theirs: ObjectSet) -> tuple[str, ...]:
+    """Return the names of the objects that differ between two sets."""
+    changed = []
+    for section in type(ours).model_fields:
+        mine = {item.name: item for item in getattr(ours, section)}
+        other = {item.name: item for item in getattr(theirs, section)}
+        names = sorted(mine.keys() | other.keys())
+        changed += [
+            f"{section}.{name}" for name in names if mine.get(name) != other.get(name)
+        ]
+    return tuple(changed)
--- /dev/null
+++ b/celeryfold/conftest.py
@@ -0,0 +1,21 @@
+"""Settings of all tests: hypothesis profiles."""
+
+from __future__ import annotations
+
+import os
+
+from hypothesis import HealthCheck, settings
+
+SLOW = [HealthCheck.too_slow, HealthCheck.data_too_large]
+
+settings.register_profile(
+    "fixed", derandomize=True, deadline=None, suppress_health_check=SLOW
+)
+settings.register_profile(
+    "prove",
+    max_examples=1000,
+    deadline=None,
+    print_blob=True,
+    suppress_health_check=SLOW,
+)
+settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "fixed"))
--- /dev/null
+++ b/celeryfold/daemon.py
@@ -0,0 +1,171 @@
+"""Run an instance or a stand-in as a process until it is told to stop."""
+
+from __future__ import annotations
+
+__all__ = ["InstanceDaemon", "open_instance", "run_instance", "run_until_signal"]
+
+import logging
+import signal
+import ssl
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from .config.objects import SlotDefinition
+from .config.settings import InstanceSettings
+from .entry.door import CallerHandler, OperatorHandler
+from .exceptions import BadInput
+from .fleet.members import Member
+from .fleet.zmq_link import PeerKeys, ZmqLink
+from .instance import Instance, Platform
+from .kernel.events import Timeline
+from .kernel.metrics import Metrics
+from .platform.http_slot import HttpSlot
+from .platform.http_store import HttpInstanceList, HttpStore
+from .platform.slot import SLOT_DRIVERS, Slot
+from .wire.server import HttpServer
+
+log = logging.getLogger(__name__)
+
+
+class InstanceDaemon:
+    """Hold an instance with its two HTTP doors."""
+
+    def __init__(self, settings: InstanceSettings) -> None:
+        self.settings = settings
+        self.instance = open_instance(settings)
+        self.callers = HttpServer(
+            settings.caller.host,
+            settings.caller.port,
+            lambda: CallerHandler(self.instance),
+            _load_tls(settings),
+        )
+        self.operators = HttpServer(
+            settings.operator.host,
+            settings.operator.port,
+            lambda: OperatorHandler(self.instance),
+        )
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Open all ports and take up work."""
+        link = self.instance.link
+        assert isinstance(link, ZmqLink)
+        await link.start(nursery)
+        await self.operators.start(nursery)
+        await self.instance.start(nursery)
+        await self.callers.start(nursery)
+
+    async def close(self) -> None:
+        """Finish what runs, then stop: no request in progress is cut."""
+        await self.callers.stop_accepting()
+        with trio.move_on_after(self.settings.drain_s):
+            await self.callers.wait_idle()
+        await self.instance.leave(self.settings.drain_s)
+        await self.operators.close()
+        await self.instance.close()
+
+
+def open_instance(settings: InstanceSettings) -> Instance:
+    """Return an instance with the drivers that its settings name."""
+    metrics = Metrics()
+    if settings.statsd is not None:
+        metrics = Metrics.connect(
+            settings.statsd.host,
+            settings.statsd.port,
+            f"celeryfold.{settings.instance}",
+        )
+    timeline = Timeline(settings.instance)
+    link = ZmqLink(
+        settings.peer.host,
+        settings.peer.port,
+        timeline.clock,
+        metrics,
+        _load_peer_keys(settings),
+    )
+    slot_tls = _load_slot_tls(settings)
+
+    def open_slot(definition: SlotDefinition) -> Slot:
+        driver = SLOT_DRIVERS.find(definition.driver)
+        if driver is HttpSlot:
+            return HttpSlot(definition.name, definition.address, slot_tls)
+        return driver(definition.name, definition.address)  # type: ignore[call-arg]
+
+    platform = Platform(
+        HttpStore(settings.store.address, metrics),
+        HttpInstanceList(settings.instance_list.address),
+        open_slot,
+    )
+    me = Member(
+        settings.instance,
+        settings.peer.address,
+        settings.place,
+        settings.caller.address,
+        incarnation=_make_incarnation(timeline),
+    )
+    secret = settings.session_key_file.read_bytes().strip()
+    return Instance(me, platform, link, secret, timeline, metrics)
+
+
+def _make_incarnation(timeline: Timeline) -> int:
+    """Return a number above that of any earlier run under the same name."""
+    stamp_ms, _ = timeline.clock.advance()
+    return stamp_ms
+
+
+def _load_tls(settings: InstanceSettings) -> ssl.SSLContext | None:
+    if settings.tls is None:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    try:
+        context.load_cert_chain(settings.tls.certificate_file, settings.tls.key_file)
+    except (ssl.SSLError, OSError) as error:
+        path = settings.tls.certificate_file
+        raise BadInput(f"tls: {path}: {error}; give a PEM pair") from error
+    return context
+
+
+def _load_slot_tls(settings: InstanceSettings) -> ssl.SSLContext | None:
+    if settings.slot_ca_file is None:
+        return None
+    try:
+        return ssl.create_default_context(cafile=str(settings.slot_ca_file))
+    except (ssl.SSLError, OSError) as error:
+        path = settings.slot_ca_file
+        raise BadInput(f"slot_ca_file: {path}: {error}; give PEM") from error
+
+
+def _load_peer_keys(settings: InstanceSettings) -> PeerKeys | None:
+    if settings.peer_keys is None:
+        return None
+    public = settings.peer_keys.public_key_file.read_bytes().strip()
+    secret = settings.peer_keys.secret_key_file.read_bytes().strip()
+    if len(public) != 40 or len(secret) != 40:
+        path = settings.peer_keys.public_key_file.parent
+        raise BadInput(f"peer_keys: {path}: a key is not 40 characters of Z85")
+    return PeerKeys(public, secret)
+
+
+async def run_until_signal(
+    start: Callable[[trio.Nursery], Awaitable[None]],
+    close: Callable[[], Awaitable[None]],
+) -> None:
+    """Run what `start` starts until SIGTERM or SIGINT, then close it."""
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with trio.open_nursery() as nursery:
+            await start(nursery)
+            async for number in signals:
+                log.info("stopping on signal %s", number)
+                break
+            await close()
+            nursery.cancel_scope.cancel()
+
+
+async def run_instance(settings: InstanceSettings) -> None:
+    """Run an instance until it is told to stop."""
+    daemon = InstanceDaemon(settings)
+
+    async def start(nursery: trio.Nursery) -> None:
+        await daemon.start(nursery)
+        log.info("%s serves callers on %s", settings.instance, settings.caller.address)
+
+    await run_until_signal(start, daemon.close)
--- /dev/null
+++ b/celeryfold/entry/entry.py
@@ -0,0 +1,420 @@
+"""Serve callers' requests: find the group, route, retry within limits, answer."""
+
+from __future__ import annotations
+
+__all__ = ["Entry", "EntryPorts"]
+
+import hashlib
+from abc import ABC, abstractmethod
+from typing import Any
+
+import msgspec
+import trio
+
+from ..config.objects import Catalog, Service, UpstreamGroup
+from ..exceptions import RequestFailure
+from ..fleet.link import PeerUnreachable
+from ..fleet.members import Member
+from ..groups.book import RecordBook
+from ..home.messages import (
+    Begin,
+    CancelKey,
+    Finish,
+    RunInTransaction,
+    RunRead,
+    RunWrite,
+    StatementAnswer,
+)
+from ..home.transactions import find_holder
+from ..kernel.errors import ANSWERS, ErrorKind, Ran
+from ..kernel.events import EventKind, Timeline
+from ..kernel.ids import (
+    GroupId,
+    InstanceId,
+    Position,
+    ServiceId,
+    SlotId,
+    Term,
+    TransactionId,
+    make_request_id,
+)
+from ..kernel.metrics import Metrics
+from ..platform.slot import Statement
+from .requests import (
+    MAX_KEY_LENGTH,
+    BeginRequest,
+    BeginResponse,
+    CancelRequest,
+    FinishRequest,
+    Mode,
+    StatementRequest,
+    StatementResponse,
+)
+from .retries import RetryBudget
+from .router import Router
+from .sessions import Seen, SessionTokens
+
+RETRY_PAUSE_S = 0.05
+MAX_RETRY_PAUSE_S = 0.4
+MIN_ATTEMPT_S = 0.3
+KEYED_ATTEMPT_S = 1.0
+MAX_DEADLINE_MS = 600_000
+
+_RETRY_READ_ELSEWHERE = {
+    ErrorKind.TOO_STALE,
+    ErrorKind.OVERLOADED,
+    ErrorKind.NOT_RUN,
+    ErrorKind.SHUTTING_DOWN,
+    ErrorKind.INTERNAL,
+}
+_RETRY_WRITE = {ErrorKind.NO_PRIMARY, ErrorKind.NOT_RUN, ErrorKind.SHUTTING_DOWN}
+
+
+class EntryPorts(ABC):
+    """What the entry needs of the instance that it runs in."""
+
+    @abstractmethod
+    def find_catalog(self) -> Catalog:
+        """Return the configuration in force."""
+
+    @abstractmethod
+    def find_member(self, instance: InstanceId) -> Member | None:
+        """Return a member of the fleet."""
+
+    @abstractmethod
+    async def send(
+        self, home: Member, message: msgspec.Struct, timeout_s: float
+    ) -> Any:
+        """Send a request to an instance, or serve it here where it is this one.
+
+        :raises PeerUnreachable: where no reply comes in time.
+        """
+
+
+class Entry:
+    """Serve callers at this instance."""
+
+    def __init__(
+        self,
+        ports: EntryPorts,
+        router: Router,
+        book: RecordBook,
+        tokens: SessionTokens,
+        timeline: Timeline,
+        metrics: Metrics,
+    ) -> None:
+        self._ports = ports
+        self._router = router
+        self._book = book
+        self._tokens = tokens
+        self._timeline = timeline
+        self._metrics = metrics
+        self._budget = RetryBudget()
+
+    async def run_statement(
+        self, service_name: ServiceId, request: StatementRequest
+    ) -> StatementResponse:
+        """Serve one statement outside a transaction."""
+        began = trio.current_time()
+        service = self._find_service(service_name)
+        group = self._ports.find_catalog().find_group(service, request.key)
+        seen = self._tokens.read(request.session)
+        deadline = began + _find_budget_s(service, request.deadline_ms)
+        self._budget.note_request()
+        self._metrics.count(f"entry.{request.mode.value}")
+        try:
+            if request.mode is Mode.READ:
+                answer = await self._read(service, group, request, seen, deadline)
+            else:
+                answer = await self._write(service, group, request, deadline)
+                seen = self._tokens.add(seen, group.name, answer.term, answer.position)
+        except RequestFailure as failure:
+            self._note_failure(failure, group.name)
+            raise
+        finally:
+            self._metrics.time("entry.request", trio.current_time() - began)
+        return self._make_response(answer, seen)
+
+    def _make_response(self, answer: StatementAnswer, seen: Seen) -> StatementResponse:
+        return StatementResponse(
+            answer.request_id,
+            answer.result.columns,
+            answer.result.rows,
+            answer.result.n_changed,
+            self._tokens.write(seen),
+            answer.slot,
+            answer.replayed,
+        )
+
+    def _note_failure(self, failure: RequestFailure, group: GroupId) -> None:
+        self._metrics.count(f"entry.failed.{failure.kind.value}")
+        if failure.kind is ErrorKind.OUTCOME_UNKNOWN:
+            self._timeline.add(EventKind.OUTCOME_UNKNOWN, group, failure.message)
+
+    def _find_service(self, name: ServiceId) -> Service:
+        service = self._ports.find_catalog().services.get(name)
+        if service is None:
+            text = f"service '{name}' is not defined"
+            raise RequestFailure(ErrorKind.UNKNOWN_SERVICE, text)
+        return service
+
+    async def _read(
+        self,
+        service: Service,
+        group: UpstreamGroup,
+        request: StatementRequest,
+        seen: Seen,
+        deadline: float,
+    ) -> StatementAnswer:
+        rule = self._ports.find_catalog().read_rules[service.read_rule]
+        accepted_ms = request.accepted_age_ms
+        if accepted_ms is None:
+            accepted_ms = rule.accepted_age_ms
+        term, position = seen.get(group.name, (Term(0), Position(0)))
+        failure = RequestFailure(ErrorKind.NOT_RUN, "no slot may serve reads now")
+        candidates = self._router.list_slots(group)
+        for rank, slot in enumerate(candidates):
+            budget_s = deadline - trio.current_time()
+            if budget_s <= 0 or (rank and not self._budget.take()):
+                break
+            is_last = rank == len(candidates) - 1
+            message = RunRead(
+                make_request_id(),
+                service.name,
+                group.name,
+                slot,
+                Statement(request.statement, request.parameters),
+                accepted_ms / 1000.0,
+                term,
+                position,
+                0.0 if is_last else rule.local_wait_ms / 1000.0,
+                budget_s if is_last else max(MIN_ATTEMPT_S, budget_s / 2),
+                service.weight,
+            )
+            try:
+                return await self._send_read(slot, message)
+            except RequestFailure as error:
+                failure = error
+                if error.kind not in _RETRY_READ_ELSEWHERE:
+                    raise
+                self._metrics.count(f"entry.read_elsewhere.{error.kind.value}")
+                self._router.avoid_slot(slot, error.kind is ErrorKind.TOO_STALE)
+        raise failure
+
+    async def _send_read(self, slot: SlotId, message: RunRead) -> StatementAnswer:
+        self._router.n_in_progress[slot] += 1
+        try:
+            return await self._send_to_home(slot, message, message.budget_s)
+        except PeerUnreachable as error:
+            raise RequestFailure(ErrorKind.NOT_RUN, str(error)) from error
+        finally:
+            self._router.n_in_progress[slot] -= 1
+
+    async def _send_to_home(
+        self, slot: SlotId, message: msgspec.Struct, timeout_s: float
+    ) -> Any:
+        home = self._router.find_home(slot)
+        if home is None:
+            raise RequestFailure(ErrorKind.NOT_RUN, "no instance may serve this slot")
+        try:
+            return await self._ports.send(home, message, timeout_s)
+        except PeerUnreachable:
+            self._metrics.count("entry.home_unreachable")
+            self._router.avoid_instance(home.instance_id)
+            raise
+
+    async def _write(
+        self,
+        service: Service,
+        group: UpstreamGroup,
+        request: StatementRequest,
+        deadline: float,
+    ) -> StatementAnswer:
+        _check_key(request.idempotency_key)
+        key = request.idempotency_key
+        digest = _hash_request(request) if key else ""
+
+        def make_message(budget_s: float) -> RunWrite:
+            return RunWrite(
+                make_request_id(),
+                service.name,
+                group.name,
+                Statement(request.statement, request.parameters),
+                key,
+                digest,
+                budget_s,
+                service.weight,
+            )
+
+        return await self._repeat(group.name, make_message, deadline, bool(key))
+
+    async def _repeat(
+        self, group: GroupId, make_message: Any, deadline: float, is_idempotent: bool
+    ) -> Any:
+        """Send to the primary's home until answered, or until a retry is no use."""
+        pause_s = RETRY_PAUSE_S
+        while True:
+            budget_s = deadline - trio.current_time()
+            if is_idempotent:
+                budget_s = min(budget_s, max(KEYED_ATTEMPT_S, budget_s / 2))
+            try:
+                return await self._send_to_primary(group, make_message(budget_s))
+            except RequestFailure as failure:
+                can_retry = failure.kind in _RETRY_WRITE or (
+                    is_idempotent and ANSWERS[failure.kind].ran is Ran.UNKNOWN
+                )
+                is_time_left = trio.current_time() + pause_s < deadline
+                if not can_retry or not is_time_left or not self._budget.take():
+                    raise
+                self._metrics.count(f"entry.write_again.{failure.kind.value}")
+            with trio.move_on_after(pause_s):
+                await self._book.wait_change(group)
+            pause_s = min(MAX_RETRY_PAUSE_S, pause_s * 2)
+
+    async def _send_to_primary(self, group: GroupId, message: Any) -> Any:
+        known = self._book.find(group)
+        if known is None or not known.record.started:
+            raise RequestFailure(ErrorKind.NO_PRIMARY, f"{group} has no primary now")
+        try:
+            return await self._send_to_home(
+                known.record.primary, message, message.budget_s
+            )
+        except PeerUnreachable as error:
+            kind = ErrorKind.OUTCOME_UNKNOWN
+            if isinstance(message, Begin):
+                kind = ErrorKind.NOT_RUN
+            raise RequestFailure(kind, str(error)) from error
+
+    async def cancel(
+        self, service_name: ServiceId, request: CancelRequest
+    ) -> StatementResponse:
+        """Give the definite outcome of a key: its answer, or that it never runs."""
+        service = self._find_service(service_name)
+        group = self._ports.find_catalog().find_group(service, request.key)
+        seen = self._tokens.read(request.session)
+        _check_key(request.idempotency_key)
+        deadline = trio.current_time() + _find_budget_s(service, request.deadline_ms)
+
+        def make_message(budget_s: float) -> CancelKey:
+            return CancelKey(
+                make_request_id(),
+                service.name,
+                group.name,
+                request.idempotency_key,
+                budget_s,
+                service.weight,
+            )
+
+        answer = await self._repeat(group.name, make_message, deadline, True)
+        seen = self._tokens.add(seen, group.name, answer.term, answer.position)
+        return self._make_response(answer, seen)
+
+    async def begin(
+        self, service_name: ServiceId, request: BeginRequest
+    ) -> BeginResponse:
+        """Open a transaction; it is not repeated where its fate is not known."""
+        service = self._find_service(service_name)
+        group = self._ports.find_catalog().find_group(service, request.key)
+        _check_key(request.idempotency_key)
+        deadline = trio.current_time() + _find_budget_s(service, request.deadline_ms)
+
+        def make_message(budget_s: float) -> Begin:
+            return Begin(
+                make_request_id(),
+                service.name,
+                group.name,
+                request.idempotency_key,
+                _hash_text("transaction"),
+                budget_s,
+                service.weight,
+            )
+
+        reply = await self._repeat(group.name, make_message, deadline, False)
+        name = _join_transaction(service.name, group.name, reply.transaction)
+        return BeginResponse(name)
+
+    async def run_in_transaction(
+        self, name: str, request: StatementRequest
+    ) -> StatementResponse:
+        """Run a statement in an open transaction, wherever it is held."""
+        service_name, _, transaction = _split_transaction(name)
+        service = self._find_service(service_name)
+        seen = self._tokens.read(request.session)
+        budget_s = _find_budget_s(service, request.deadline_ms)
+        message = RunInTransaction(
+            make_request_id(),
+            transaction,
+            Statement(request.statement, request.parameters),
+            budget_s,
+        )
+        answer = await self._send_to_holder(transaction, message, budget_s, False)
+        return self._make_response(answer, seen)
+
+    async def finish(
+        self, name: str, request: FinishRequest, commit: bool
+    ) -> StatementResponse:
+        """Commit or roll back a transaction."""
+        service_name, group, transaction = _split_transaction(name)
+        service = self._find_service(service_name)
+        seen = self._tokens.read(request.session)
+        budget_s = _find_budget_s(service, request.deadline_ms)
+        message = Finish(make_request_id(), transaction, commit, budget_s)
+        answer = await self._send_to_holder(transaction, message, budget_s, commit)
+        if commit:
+            seen = self._tokens.add(seen, group, answer.term, answer.position)
+        return self._make_response(answer, seen)
+
+    async def _send_to_holder(
+        self,
+        transaction: TransactionId,
+        message: msgspec.Struct,
+        budget_s: float,
+        commits: bool,
+    ) -> Any:
+        holder = self._ports.find_member(find_holder(transaction))
+        kind = ErrorKind.OUTCOME_UNKNOWN if commits else ErrorKind.TRANSACTION_LOST
+        if holder is None:
+            text = "the instance that held the transaction is gone"
+            raise RequestFailure(kind, text)
+        try:
+            return await self._ports.send(holder, message, budget_s)
+        except PeerUnreachable as error:
+            raise RequestFailure(kind, str(error)) from error
+
+
+def _find_budget_s(service: Service, deadline_ms: int | None) -> float:
+    if deadline_ms is None:
+        return service.deadline_ms / 1000.0
+    if not 1 <= deadline_ms <= MAX_DEADLINE_MS:
+        text = f"deadline_ms: give 1 to {MAX_DEADLINE_MS}"
+        raise RequestFailure(ErrorKind.BAD_REQUEST, text)
+    return deadline_ms / 1000.0
+
+
+def _check_key(key: str) -> None:
+    if len(key) > MAX_KEY_LENGTH:
+        text = f"idempotency_key: give at most {MAX_KEY_LENGTH} characters"
+        raise RequestFailure(ErrorKind.BAD_REQUEST, text)
+
+
+def _hash_request(request: StatementRequest) -> str:
+    content = (request.statement, request.parameters)
+    return _hash_text(msgspec.json.encode(content).decode())
+
+
+def _hash_text(text: str) -> str:
+    return hashlib.sha256(text.encode()).hexdigest()[:32]
+
+
+def _join_transaction(
+    service: ServiceId, group: GroupId, transaction: TransactionId
+) -> str:
+    return f"{service}~{group}~{transaction}"
+
+
+def _split_transaction(name: str) -> tuple[ServiceId, GroupId, TransactionId]:
+    parts = name.split("~", 2)
+    if len(parts) != 3 or "~" not in parts[2]:
+        text = "this is not the name of a transaction"
+        raise RequestFailure(ErrorKind.UNKNOWN_TRANSACTION, text)
+    return ServiceId(parts[0]), GroupId(parts[1]), TransactionId(parts[2])
--- /dev/null
+++ b/celeryfold/entry/sessions.py
@@ -0,0 +1,68 @@
+"""Signed session tokens: which acknowledged writes a caller has to see."""
+
+from __future__ import annotations
+
+__all__ = ["Seen", "SessionTokens"]
+
+from typing import NewType
+
+import itsdangerous
+import msgspec
+
+from ..exceptions import RequestFailure
+from ..kernel.errors import ErrorKind
+from ..kernel.ids import GroupId, Position, Term
+
+SALT = "celeryfold-session"
+N_GROUPS_AT_MOST = 256
+
+Seen = NewType("Seen", dict[GroupId, tuple[Term, Position]])
+
+_decoder = msgspec.msgpack.Decoder(dict[str, tuple[int, int]])
+
+
+class SessionTokens:
+    """Read and write tokens signed with the fleet's secret.
+
+    :param secret: the same on all instances.
+    """
+
+    def __init__(self, secret: bytes) -> None:
+        self._serializer = itsdangerous.URLSafeSerializer(
+            secret, salt=SALT, serializer=_Packer()
+        )
+
+    def read(self, token: str) -> Seen:
+        """Return what a token says its caller has written.
+
+        :raises RequestFailure: where it is not one of ours.
+        """
+        if not token:
+            return Seen({})
+        try:
+            return Seen(self._serializer.loads(token))
+        except (itsdangerous.BadData, msgspec.DecodeError) as error:
+            text = "session: not a token of this system; send none to start anew"
+            raise RequestFailure(ErrorKind.INVALID_TOKEN, text) from error
+
+    def write(self, seen: Seen) -> str:
+        """Return a token."""
+        if not seen:
+            return ""
+        token = self._serializer.dumps(seen)
+        return token.decode("ascii") if isinstance(token, bytes) else token
+
+    @staticmethod
+    def add(seen: Seen, group: GroupId, term: Term, position: Position) -> Seen:
+        """Return what is seen once a write was acknowledged."""
+        if (term, position) <= seen.get(group, (0, 0)):
+            return seen
+        return Seen({**seen, group: (term, position)})
+
+
+class _Packer:
+    def dumps(self, value: Seen) -> bytes:
+        return msgspec.msgpack.encode(value)
+
+    def loads(self, data: bytes) -> dict[str, tuple[int, int]]:
+        return _decoder.decode(data)
--- /dev/null
+++ b/celeryfold/fleet/__init__.py
@@ -0,0 +1,9 @@
+"""Membership between instances, placement of work, and the links between them."""
+
+from __future__ import annotations
+
+__all__ = ["Member", "MemberState", "Membership", "PeerLink", "PeerUnreachable"]
+
+from .link import PeerLink, PeerUnreachable
+from .members import Member, MemberState
+from .membership import Membership
--- /dev/null
+++ b/celeryfold/fleet/messages.py
@@ -0,0 +1,167 @@
+"""Messages by which instances keep the fleet together, and the codec of all."""
+
+from __future__ import annotations
+
+__all__ = [
+    "CheckSlot",
+    "CheckSlotReply",
+    "ConfigReply",
+    "Envelope",
+    "FailureReply",
+    "FetchConfig",
+    "FetchState",
+    "FleetState",
+    "Probe",
+    "ProbeFor",
+    "ProbeReply",
+    "Tell",
+    "decode_envelope",
+    "encode_envelope",
+]
+
+import msgspec
+
+from ..home.messages import (
+    Begin,
+    BeginReply,
+    CancelKey,
+    Finish,
+    RunInTransaction,
+    RunRead,
+    RunWrite,
+    StatementAnswer,
+    TakeSample,
+    TakeSampleReply,
+)
+from ..kernel.errors import ErrorKind
+from ..kernel.ids import Generation, SlotId
+from .members import Member, News
+
+
+class Probe(msgspec.Struct, frozen=True, tag="probe"):
+    """Ask whether a peer is alive, telling it news.
+
+    :param digest: hash of the sender's records and generation.
+    """
+
+    news: tuple[News, ...]
+    digest: int
+
+
+class ProbeReply(msgspec.Struct, frozen=True, tag="probe_reply"):
+    """Answer a probe with news."""
+
+    news: tuple[News, ...]
+    digest: int
+    reached: bool = True
+
+
+class ProbeFor(msgspec.Struct, frozen=True, tag="probe_for"):
+    """Ask a peer to probe a third instance."""
+
+    address: str
+
+
+class Tell(msgspec.Struct, frozen=True, tag="tell"):
+    """Tell fresh news at once."""
+
+    news: tuple[News, ...]
+
+
+class FetchState(msgspec.Struct, frozen=True, tag="fetch_state"):
+    """Ask for all that a peer knows, saying who asks."""
+
+    member: Member
+
+
+class FleetState(msgspec.Struct, frozen=True, tag="fleet_state"):
+    """Hold all that an instance knows, as news."""
+
+    news: tuple[News, ...]
+
+
+class FetchConfig(msgspec.Struct, frozen=True, tag="fetch_config"):
+    """Ask for a set of objects by its hash."""
+
+    digest: str
+
+
+class ConfigReply(msgspec.Struct, frozen=True, tag="config"):
+    """Hold a set of objects, or None where the peer does not have it."""
+
+    generation: Generation
+    content: bytes | None
+
+
+class CheckSlot(msgspec.Struct, frozen=True, tag="check_slot"):
+    """Ask whether a peer reaches a slot."""
+
+    slot: SlotId
+
+
+class CheckSlotReply(msgspec.Struct, frozen=True, tag="slot_checked"):
+    """Tell whether a slot was reached."""
+
+    reached: bool
+
+
+class FailureReply(msgspec.Struct, frozen=True, tag="failure"):
+    """Carry a request failure back to the peer that asked."""
+
+    kind: ErrorKind
+    message: str
+    retry_after_s: float | None = None
+
+
+Message = (
+    Probe
+    | ProbeReply
+    | ProbeFor
+    | Tell
+    | FetchState
+    | FleetState
+    | FetchConfig
+    | ConfigReply
+    | CheckSlot
+    | CheckSlotReply
+    | FailureReply
+    | RunRead
+    | RunWrite
+    | StatementAnswer
+    | Begin
+    | BeginReply
+    | RunInTransaction
+    | Finish
+    | CancelKey
+    | TakeSample
+    | TakeSampleReply
+)
+
+
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
+    """Wrap a message with what matches replies to requests.
+
+    :param number: chosen by the asker; the reply carries the same.
+    :param stamp_ms: the sender's hybrid time.
+    """
+
+    number: int
+    stamp_ms: int
+    message: Message
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Envelope)
+
+
+def encode_envelope(envelope: Envelope) -> bytes:
+    """Return the bytes of an envelope."""
+    return _encoder.encode(envelope)
+
+
+def decode_envelope(data: bytes) -> Envelope:
+    """Return the envelope in the bytes.
+
+    :raises msgspec.DecodeError: where they hold none.
+    """
+    return _decoder.decode(data)
--- /dev/null
+++ b/celeryfold/fleet/watching.py
@@ -0,0 +1,121 @@
+"""Watch the store and the platform's list from a few instances of each place."""
+
+from __future__ import annotations
+
+__all__ = ["WatchPorts", "Watcher"]
+
+import logging
+from typing import Protocol
+
+import trio
+
+from ..exceptions import CeleryfoldError
+from ..kernel.events import EventKind, Timeline
+from ..platform.listing import InstanceList, Listing
+from ..platform.store import Store, StoreUnavailable
+from .knowledge import Knowledge
+from .members import Member
+from .membership import Membership
+from .placement import rank_members
+
+log = logging.getLogger(__name__)
+
+WATCH_PREFIX = "celeryfold/"
+WATCH_WAIT_S = 10.0
+RETRY_S = 0.5
+LIST_INTERVAL_S = 1.0
+N_WATCHERS_A_PLACE = 2
+NOT_WATCHING_PAUSE_S = 1.0
+
+
+class WatchPorts(Protocol):
+    """What a watcher needs of the platform."""
+
+    @property
+    def store(self) -> Store:
+        """The key-value service."""
+
+    @property
+    def instance_list(self) -> InstanceList:
+        """The list of live and leaving instances."""
+
+
+class Watcher:
+    """Watch while this instance is one of its place's watchers."""
+
+    def __init__(
+        self,
+        platform: WatchPorts,
+        membership: Membership,
+        knowledge: Knowledge,
+        timeline: Timeline,
+    ) -> None:
+        self._platform = platform
+        self._membership = membership
+        self._knowledge = knowledge
+        self._timeline = timeline
+        self._revision = 0
+        self._is_store_down = False
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Fetch a first view of the fleet, then begin to watch."""
+        listing = await self._read_list()
+        if listing is not None:
+            await self._membership.join(_make_members(listing))
+        nursery.start_soon(self._watch_store)
+        nursery.start_soon(self._watch_list)
+
+    def is_watcher(self) -> bool:
+        """Tell whether this instance watches for its place."""
+        me = self._membership.me
+        here = [m for m in self._membership.usable() if m.place == me.place]
+        ranked = rank_members(here, f"watcher/{me.place}")[:N_WATCHERS_A_PLACE]
+        return any(member.instance_id == me.instance_id for member in ranked)
+
+    async def _watch_store(self) -> None:
+        while True:
+            if not self.is_watcher():
+                await trio.sleep(NOT_WATCHING_PAUSE_S)
+                continue
+            try:
+                entries = await self._platform.store.watch(
+                    WATCH_PREFIX, self._revision, WATCH_WAIT_S
+                )
+            except StoreUnavailable:
+                self._note_store(is_down=True)
+                await trio.sleep(RETRY_S)
+                continue
+            self._note_store(is_down=False)
+            for entry in entries:
+                self._revision = max(self._revision, entry.revision)
+                await self._knowledge.learn_entry(entry)
+
+    def _note_store(self, is_down: bool) -> None:
+        if is_down != self._is_store_down:
+            self._is_store_down = is_down
+            kind = EventKind.STORE_DOWN if is_down else EventKind.STORE_UP
+            self._timeline.add(kind, "store")
+            log.warning("the key-value service is %s", "down" if is_down else "up")
+
+    async def _watch_list(self) -> None:
+        while True:
+            await trio.sleep(LIST_INTERVAL_S)
+            if self.is_watcher():
+                await self._read_list()
+
+    async def _read_list(self) -> Listing | None:
+        try:
+            listing = await self._platform.instance_list.fetch()
+        except CeleryfoldError:
+            return None
+        await self._knowledge.learn_listed(frozenset(listing.leaving_slots))
+        self._membership.suggest(_make_members(listing))
+        return listing
+
+
+def _make_members(listing: Listing) -> list[Member]:
+    return [
+        Member(item.instance_id, item.address, item.place, incarnation=-1)
+        for item in listing.instances
+        if not item.leaving
+    ]
--- /dev/null
+++ b/celeryfold/fleet/zmq_link.py
@@ -0,0 +1,287 @@
+"""Links between instances over pyzmq: one ROUTER to serve, one DEALER a peer."""
+
+from __future__ import annotations
+
+__all__ = ["PeerKeys", "ZmqLink"]
+
+import itertools
+import logging
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+import trio
+import zmq
+import zmq.auth.thread
+
+from ..exceptions import BadInput, RequestFailure
+from ..kernel.errors import ErrorKind
+from ..kernel.events import HybridClock
+from ..kernel.metrics import Metrics
+from .link import PeerLink, PeerUnreachable
+from .messages import (
+    Envelope,
+    FailureReply,
+    decode_envelope,
+    encode_envelope,
+)
+
+log = logging.getLogger(__name__)
+
+MAX_MESSAGE_BYTES = 4_000_000
+N_QUEUED_MESSAGES = 10_000
+HEARTBEAT_INTERVAL_MS = 1000
+HEARTBEAT_TIMEOUT_MS = 3000
+PEER_IDLE_CLOSE_S = 60.0
+
+
+@dataclass(frozen=True)
+class PeerKeys:
+    """Hold the fleet's CURVE key pair, Z85 text."""
+
+    public: bytes
+    secret: bytes
+
+
+class _Peer:
+    def __init__(self, socket: zmq.Socket[bytes]) -> None:
+        self.socket = socket
+        self.scope = trio.CancelScope()
+        self.used_at = trio.current_time()
+        self.n_waiting = 0
+
+
+class _Pending:
+    def __init__(self) -> None:
+        self.done = trio.Event()
+        self.reply: Any = None
+
+
+class ZmqLink(PeerLink):
+    """Serve on one TCP address and keep one connection to each peer in use.
+
+    :param keys: CURVE keys, or None for plain TCP.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        clock: HybridClock | None = None,
+        metrics: Metrics | None = None,
+        keys: PeerKeys | None = None,
+    ) -> None:
+        super().__init__()
+        self.host = host
+        self.port = port
+        self._clock = clock or HybridClock()
+        self._metrics = metrics or Metrics()
+        self._keys = keys
+        self._context = zmq.Context()
+        self._router = self._context.socket(zmq.ROUTER)
+        self._peers: dict[str, _Peer] = {}
+        self._pending: dict[int, _Pending] = {}
+        self._numbers = itertools.count(1)
+        self._nursery: trio.Nursery | None = None
+        self._closed = trio.Event()
+        self._authenticator: zmq.auth.thread.ThreadAuthenticator | None = None
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Open the port and serve until closed.
+
+        :raises BadInput: where the port cannot be opened.
+        """
+        if self._keys is not None:
+            self._start_authenticator(self._keys)
+        _set_options(self._router)
+        try:
+            if self.port:
+                self._router.bind(f"tcp://{self.host}:{self.port}")
+            else:
+                self.port = self._router.bind_to_random_port(f"tcp://{self.host}")
+        except zmq.ZMQError as error:
+            text = f"cannot listen on {self.host}:{self.port}: {error}"
+            raise BadInput(f"{text}; free the port or set another") from error
+        await nursery.start(self._run)
+
+    async def _run(self, task_status: trio.TaskStatus[None]) -> None:
+        try:
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                nursery.start_soon(self._serve)
+                nursery.start_soon(self._close_idle)
+                task_status.started()
+        finally:
+            self._nursery = None
+            self._close_sockets()
+            self._closed.set()
+
+    def _start_authenticator(self, keys: PeerKeys) -> None:
+        self._authenticator = zmq.auth.thread.ThreadAuthenticator(self._context)
+        self._authenticator.start()
+        self._authenticator.configure_curve_callback(
+            "*", credentials_provider=_OneKey(keys.public)
+        )
+        self._router.curve_server = True
+        self._router.curve_publickey = keys.public
+        self._router.curve_secretkey = keys.secret
+
+    async def _serve(self) -> None:
+        while True:
+            self._drain_router()
+            await trio.lowlevel.wait_readable(self._router.fileno())
+
+    def _drain_router(self) -> None:
+        while True:
+            try:
+                identity, data = self._router.recv_multipart(zmq.NOBLOCK)
+            except zmq.Again:
+                return
+            except ValueError:
+                self._metrics.count("peer.unreadable")
+                continue
+            envelope = self._decode(data)
+            if envelope is not None and self._nursery is not None:
+                self._nursery.start_soon(self._answer, identity, envelope)
+
+    def _decode(self, data: bytes) -> Envelope | None:
+        self._metrics.count("peer.bytes_received", len(data))
+        try:
+            envelope = decode_envelope(data)
+        except msgspec.DecodeError:
+            self._metrics.count("peer.unreadable")
+            return None
+        self._clock.observe(envelope.stamp_ms)
+        return envelope
+
+    async def _answer(self, identity: bytes, envelope: Envelope) -> None:
+        handler = self.handlers.get(type(envelope.message))
+        if handler is None:
+            self._metrics.count("peer.unexpected")
+            return
+        try:
+            reply = await handler(envelope.message)
+        except RequestFailure as failure:
+            reply = FailureReply(failure.kind, failure.message, failure.retry_after_s)
+        except Exception:
+            log.exception("peer request failed")
+            reply = FailureReply(ErrorKind.INTERNAL, "internal error, see the log")
+        data = self._encode(envelope.number, reply)
+        if self._nursery is None:
+            return
+        try:
+            self._router.send_multipart([identity, data], zmq.NOBLOCK)
+        except zmq.ZMQError:
+            self._metrics.count("peer.reply_dropped")
+        self._drain_router()
+
+    def _encode(self, number: int, message: Any) -> bytes:
+        stamp_ms, _ = self._clock.advance()
+        data = encode_envelope(Envelope(number, stamp_ms, message))
+        self._metrics.count("peer.bytes_sent", len(data))
+        return data
+
+    async def request(
+        self, address: str, message: msgspec.Struct, timeout_s: float
+    ) -> Any:
+        """Send a request to a peer and return its reply."""
+        if self._nursery is None:
+            raise PeerUnreachable("the link is closed")
+        peer = self._peers.get(address) or self._connect(address)
+        number = next(self._numbers)
+        pending = self._pending[number] = _Pending()
+        peer.used_at = trio.current_time()
+        peer.n_waiting += 1
+        try:
+            peer.socket.send(self._encode(number, message), zmq.NOBLOCK)
+            self._drain_dealer(peer.socket)
+            with trio.move_on_after(timeout_s):
+                await pending.done.wait()
+        except zmq.ZMQError as error:
+            raise PeerUnreachable(f"{address} takes no more requests") from error
+        finally:
+            peer.n_waiting -= 1
+            del self._pending[number]
+        if not pending.done.is_set():
+            raise PeerUnreachable(f"{address} does not reply")
+        if isinstance(pending.reply, FailureReply):
+            reply = pending.reply
+            raise RequestFailure(reply.kind, reply.message, reply.retry_after_s)
+        return pending.reply
+
+    def _connect(self, address: str) -> _Peer:
+        assert self._nursery is not None
+        socket = self._context.socket(zmq.DEALER)
+        _set_options(socket)
+        if self._keys is not None:
+            socket.curve_serverkey = self._keys.public
+            socket.curve_publickey = self._keys.public
+            socket.curve_secretkey = self._keys.secret
+        socket.connect(f"tcp://{address}")
+        peer = self._peers[address] = _Peer(socket)
+        self._nursery.start_soon(self._receive, peer)
+        return peer
+
+    async def _receive(self, peer: _Peer) -> None:
+        with peer.scope:
+            while True:
+                self._drain_dealer(peer.socket)
+                await trio.lowlevel.wait_readable(peer.socket.fileno())
+        peer.socket.close(linger=0)
+
+    def _drain_dealer(self, socket: zmq.Socket[bytes]) -> None:
+        while True:
+            try:
+                data = socket.recv(zmq.NOBLOCK)
+            except zmq.Again:
+                return
+            envelope = self._decode(data)
+            if envelope is None:
+                continue
+            pending = self._pending.get(envelope.number)
+            if pending is None:
+                self._metrics.count("peer.late_reply")
+                continue
+            pending.reply = envelope.message
+            pending.done.set()
+
+    async def _close_idle(self) -> None:
+        while True:
+            await trio.sleep(PEER_IDLE_CLOSE_S / 4)
+            oldest = trio.current_time() - PEER_IDLE_CLOSE_S
+            for address, peer in list(self._peers.items()):
+                if peer.used_at < oldest and not peer.n_waiting:
+                    del self._peers[address]
+                    peer.scope.cancel()
+
+    async def close(self) -> None:
+        """Close all links; requests that wait for a reply get none."""
+        if self._nursery is not None:
+            self._nursery.cancel_scope.cancel()
+            await self._closed.wait()
+
+    def _close_sockets(self) -> None:
+        for peer in self._peers.values():
+            peer.socket.close(linger=0)
+        self._peers.clear()
+        self._router.close(linger=0)
+        if self._authenticator is not None:
+            self._authenticator.stop()
+        self._context.destroy(linger=0)
+
+
+class _OneKey:
+    def __init__(self, key: bytes) -> None:
+        self._key = key
+
+    def callback(self, domain: str, key: bytes) -> bool:
+        return key == self._key
+
+
+def _set_options(socket: zmq.Socket[bytes]) -> None:
+    socket.linger = 0
+    socket.maxmsgsize = MAX_MESSAGE_BYTES
+    socket.sndhwm = N_QUEUED_MESSAGES
+    socket.rcvhwm = N_QUEUED_MESSAGES
+    socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS)
+    socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
--- /dev/null
+++ b/celeryfold/groups/book.py
@@ -0,0 +1,65 @@
+"""The latest known record of each group, adopted only upwards."""
+
+from __future__ import annotations
+
+__all__ = ["KnownRecord", "RecordBook"]
+
+from collections.abc import Callable
+
+import msgspec
+import trio
+
+from ..kernel.ids import GroupId
+from .record import GroupRecord
+
+KEY_PREFIX = "celeryfold/groups/"
+
+
+class KnownRecord(msgspec.Struct, frozen=True):
+    """Hold a record with the store revision that wrote it."""
+
+    group: GroupId
+    revision: int
+    record: GroupRecord
+
+    @property
+    def key(self) -> str:
+        """The store key of the record."""
+        return KEY_PREFIX + self.group
+
+
+class RecordBook:
+    """Hold the records that this instance has heard of."""
+
+    def __init__(self) -> None:
+        self._known: dict[GroupId, KnownRecord] = {}
+        self._changed: dict[GroupId, trio.Event] = {}
+        self.listeners: list[Callable[[KnownRecord], None]] = []
+
+    def find(self, group: GroupId) -> KnownRecord | None:
+        """Return the latest known record of a group."""
+        return self._known.get(group)
+
+    def all(self) -> list[KnownRecord]:
+        """Return every known record."""
+        return list(self._known.values())
+
+    def adopt(self, known: KnownRecord) -> bool:
+        """Take over a record unless it is no newer than the known one.
+
+        :returns: whether it was news.
+        """
+        current = self._known.get(known.group)
+        if current is not None and current.revision >= known.revision:
+            return False
+        self._known[known.group] = known
+        for listener in self.listeners:
+            listener(known)
+        event = self._changed.pop(known.group, None)
+        if event is not None:
+            event.set()
+        return True
+
+    async def wait_change(self, group: GroupId) -> None:
+        """Return when the record of a group changes."""
+        await self._changed.setdefault(group, trio.Event()).wait()
--- /dev/null
+++ b/celeryfold/groups/decisions.py
@@ -0,0 +1,158 @@
+"""What a guardian does next for its group; free of I/O."""
+
+from __future__ import annotations
+
+__all__ = ["Action", "Follow", "GroupView", "Promote", "Swap", "decide"]
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+
+from ..kernel.events import EventKind
+from ..kernel.ids import SlotId, Term
+from ..platform.slot import SlotRole, SlotStatus
+from .record import (
+    GroupRecord,
+    can_promote,
+    propose_readmission,
+    propose_term,
+    shrink,
+    start_term,
+)
+
+N_ENTRIES_BEHIND = 64
+
+
+@dataclass(frozen=True)
+class Promote:
+    """Order the record's primary to take up its term."""
+
+    slot: SlotId
+    term: Term
+
+
+@dataclass(frozen=True)
+class Follow:
+    """Order a slot to replicate from the primary of a started term."""
+
+    slot: SlotId
+    primary: SlotId
+    term: Term
+
+
+@dataclass(frozen=True)
+class Swap:
+    """Put a new record in place of the one decided upon."""
+
+    record: GroupRecord
+    event: EventKind
+
+
+Action = Promote | Follow | Swap
+
+
+@dataclass(frozen=True)
+class GroupView:
+    """Hold what a guardian has seen of its group.
+
+    :param statuses: answers of the latest probes.
+    :param lost: slots that several instances agree to be out of reach.
+    :param mute: slots that have not answered this guardian for a while.
+    :param steady: slots that have answered for long enough to be let in again.
+    :param leaving: slots that get no new work.
+    :param eligible: slots that may confirm writes, the preferred ones first.
+    """
+
+    statuses: Mapping[SlotId, SlotStatus]
+    lost: frozenset[SlotId] = frozenset()
+    mute: frozenset[SlotId] = frozenset()
+    steady: frozenset[SlotId] = frozenset()
+    leaving: frozenset[SlotId] = frozenset()
+    eligible: Sequence[SlotId] = field(default_factory=tuple)
+
+
+def decide(record: GroupRecord, view: GroupView) -> list[Action]:
+    """Return the next actions; at most one of them changes the record."""
+    if _needs_new_primary(record, view):
+        proposal = _propose_primary(record, view)
+        return [Swap(proposal, EventKind.TERM_PROPOSED)] if proposal else []
+    if not record.started:
+        return _take_up_term(record, view)
+    actions: list[Action] = list(_find_strays(record, view))
+    swap = _change_confirming(record, view)
+    if swap is not None:
+        actions.append(swap)
+    return actions
+
+
+def _needs_new_primary(record: GroupRecord, view: GroupView) -> bool:
+    primary = record.primary
+    if primary in view.lost:
+        return True
+    status = view.statuses.get(primary)
+    if status is None:
+        return False
+    if not record.started:
+        return status.ordered_term >= record.term > status.term
+    if primary in view.leaving:
+        return True
+    return status.role is not SlotRole.PRIMARY or status.ordered_term != record.term
+
+
+def _propose_primary(record: GroupRecord, view: GroupView) -> GroupRecord | None:
+    usable = [
+        slot
+        for slot, status in view.statuses.items()
+        if slot not in view.lost | view.leaving and can_promote(record, slot, status)
+    ]
+    if not usable:
+        return None
+    order = {slot: rank for rank, slot in enumerate(view.eligible)}
+
+    def preference(slot: SlotId) -> tuple[int, int, int]:
+        status = view.statuses[slot]
+        return (-status.term, order.get(slot, len(order)), -status.position)
+
+    best = min(usable, key=preference)
+    answering = view.statuses.keys() - view.lost - view.mute - view.leaving
+    confirming = answering & set(view.eligible)
+    return propose_term(record, best, view.statuses[best], confirming)
+
+
+def _take_up_term(record: GroupRecord, view: GroupView) -> list[Action]:
+    status = view.statuses.get(record.primary)
+    if status is None:
+        return []
+    started = start_term(record, status)
+    if started is not None:
+        return [Swap(started, EventKind.TERM_STARTED)]
+    return [Promote(record.primary, record.term)]
+
+
+def _find_strays(record: GroupRecord, view: GroupView) -> list[Follow]:
+    return [
+        Follow(slot, record.primary, record.term)
+        for slot, status in view.statuses.items()
+        if slot != record.primary
+        and (status.following != record.primary or status.ordered_term < record.term)
+    ]
+
+
+def _change_confirming(record: GroupRecord, view: GroupView) -> Swap | None:
+    for slot in sorted(record.confirming - {record.primary}):
+        if slot in view.mute | view.leaving:
+            smaller = shrink(record, slot)
+            if smaller is not None:
+                return Swap(smaller, EventKind.MEMBER_DROPPED)
+    primary_status = view.statuses.get(record.primary)
+    if primary_status is None:
+        return None
+    for slot in view.eligible:
+        status = view.statuses.get(slot)
+        if slot in record.confirming or status is None or slot in view.leaving:
+            continue
+        is_near = primary_status.position - status.position <= N_ENTRIES_BEHIND
+        if slot in view.steady and status.term == record.term and is_near:
+            larger = propose_readmission(record, slot, primary_status)
+            if larger is not None:
+                return Swap(larger, EventKind.TERM_PROPOSED)
+    return None
--- /dev/null
+++ b/celeryfold/groups/freshness.py
@@ -0,0 +1,80 @@
+"""Evidence of how fresh the log positions of a group are.
+
+A sample says: every write acknowledged before `taken_at` is at or below `position` of
+`term`. It holds without agreeing clocks, since the instance that uses a sample dates it
+by the time at which it sent its own request.
+"""
+
+from __future__ import annotations
+
+__all__ = ["Sample", "SampleShelf", "make_sample"]
+
+from collections import deque
+from collections.abc import Mapping
+
+import msgspec
+
+from ..kernel.ids import Position, SlotId, Term
+from ..platform.slot import BatchAnswer, SlotStatus
+from .record import GroupRecord
+
+N_SAMPLES_KEPT = 64
+
+
+class Sample(msgspec.Struct, frozen=True):
+    """Bound the acknowledged writes of a group at one moment.
+
+    :param taken_at: local monotonic seconds before which no acknowledged write is
+        above the position.
+    """
+
+    term: Term
+    position: Position
+    taken_at: float
+
+
+def make_sample(
+    record: GroupRecord, reports: Mapping[SlotId, SlotStatus], taken_at: float
+) -> Sample | None:
+    """Return a sample where every confirming slot reports the record's term.
+
+    :param reports: answers to requests sent at or after `taken_at`.
+    """
+    if not record.started or not record.confirming <= reports.keys():
+        return None
+    members = [reports[slot] for slot in record.confirming]
+    if any(status.term != record.term for status in members):
+        return None
+    position = min(status.position for status in members)
+    return Sample(record.term, Position(position), taken_at)
+
+
+class SampleShelf:
+    """Keep the latest samples of one group, newest last."""
+
+    def __init__(self) -> None:
+        self._samples: deque[Sample] = deque(maxlen=N_SAMPLES_KEPT)
+
+    def add(self, sample: Sample) -> None:
+        """Add a sample."""
+        if not self._samples or self._samples[-1].taken_at < sample.taken_at:
+            self._samples.append(sample)
+
+    def find(self, not_before: float) -> Sample | None:
+        """Return the oldest sample taken at or after a moment."""
+        for sample in self._samples:
+            if sample.taken_at >= not_before:
+                return sample
+        return None
+
+    def vouches(
+        self, answer: BatchAnswer, not_before: float, from_primary: bool
+    ) -> bool:
+        """Tell whether an answer shows every write acknowledged before a moment.
+
+        The primary of a term holds every write of it, so there the term suffices.
+        """
+        sample = self.find(not_before)
+        if sample is None or sample.term != answer.term:
+            return False
+        return from_primary or answer.position >= sample.position
--- /dev/null
+++ b/celeryfold/groups/guardian.py
@@ -0,0 +1,265 @@
+"""Watch one upstream group, order promotions and keep its record true."""
+
+from __future__ import annotations
+
+__all__ = ["Guardian", "GuardianPorts"]
+
+import logging
+from abc import ABC, abstractmethod
+
+import msgspec
+import trio
+
+from ..config.objects import Catalog, UpstreamGroup
+from ..exceptions import CeleryfoldError
+from ..kernel.events import EventKind, Timeline
+from ..kernel.ids import GroupId, SlotId
+from ..kernel.metrics import Metrics
+from ..platform.slot import OrderRefused, Slot, SlotStatus, SlotUnreachable
+from ..platform.store import Store, StoreConflict, StoreUnavailable
+from .book import KEY_PREFIX, KnownRecord, RecordBook
+from .decisions import Action, Follow, GroupView, Promote, Swap, decide
+from .record import GroupRecord, make_first_record
+
+log = logging.getLogger(__name__)
+
+PROBE_INTERVAL_S = 0.5
+SUSPECT_INTERVAL_S = 0.2
+PROBE_TIMEOUT_S = 0.6
+STORE_TIMEOUT_S = 1.0
+SUSPECT_AFTER_S = 0.7
+LOST_AFTER_S = 1.4
+MUTE_AFTER_S = 1.2
+STEADY_AFTER_S = 2.0
+RANK_STEP_S = 1.5
+
+
+class GuardianPorts(ABC):
+    """What a guardian needs of the instance that it runs in."""
+
+    @abstractmethod
+    def find_slot(self, slot: SlotId) -> Slot:
+        """Return the driver of a slot."""
+
+    @abstractmethod
+    def find_rank(self, group: GroupId) -> int | None:
+        """Return this instance's rank among the group's guardians, or None."""
+
+    @abstractmethod
+    def find_leaving(self) -> frozenset[SlotId]:
+        """Return the slots that get no new work."""
+
+    @abstractmethod
+    def find_catalog(self) -> Catalog:
+        """Return the configuration in force."""
+
+    @abstractmethod
+    async def publish_record(self, known: KnownRecord) -> None:
+        """Adopt a record and tell the fleet of it."""
+
+    @abstractmethod
+    async def ask_others(self, slot: SlotId) -> bool:
+        """Tell whether other instances agree that a slot is out of reach."""
+
+
+class Guardian:
+    """Probe the slots of one group and act on what is seen.
+
+    :param group: the name of the group; its definition is read anew each time.
+    """
+
+    def __init__(
+        self,
+        group: GroupId,
+        ports: GuardianPorts,
+        store: Store,
+        book: RecordBook,
+        timeline: Timeline,
+        metrics: Metrics,
+    ) -> None:
+        self.group = group
+        self._ports = ports
+        self._store = store
+        self._book = book
+        self._timeline = timeline
+        self._metrics = metrics
+        self._statuses: dict[SlotId, SlotStatus] = {}
+        self._answered_at: dict[SlotId, float] = {}
+        self._steady_since: dict[SlotId, float] = {}
+        self._lost: frozenset[SlotId] = frozenset()
+        self._since = 0.0
+
+    async def run(self) -> None:
+        """Guard the group for as long as this instance ranks among its guardians."""
+        self._since = trio.current_time()
+        while True:
+            rank = self._ports.find_rank(self.group)
+            definition = self._ports.find_catalog().groups.get(self.group)
+            if rank is None or definition is None:
+                return
+            began = trio.current_time()
+            try:
+                await self._attend(definition, rank)
+            except CeleryfoldError as error:
+                log.debug("guardian of %s: %s", self.group, error)
+            interval = SUSPECT_INTERVAL_S if self._has_suspects() else PROBE_INTERVAL_S
+            await trio.sleep_until(max(began + interval, trio.current_time() + 0.01))
+
+    def _has_suspects(self) -> bool:
+        known = self._book.find(self.group)
+        if known is None or not known.record.started:
+            return True
+        return known.record.primary not in self._statuses
+
+    async def _attend(self, definition: UpstreamGroup, rank: int) -> None:
+        await self._probe_all(definition)
+        known = self._book.find(self.group)
+        if known is None:
+            known = await self._load_or_create(definition)
+        if known is None:
+            return
+        await self._judge_primary(known.record, rank)
+        view = self._make_view(definition, rank)
+        for action in decide(known.record, view):
+            if rank == 0 or self._may_stand_in(known.record, rank):
+                await self._act(known, action)
+
+    def _may_stand_in(self, record: GroupRecord, rank: int) -> bool:
+        waited = trio.current_time() - self._answered_at.get(record.primary, 0.0)
+        if record.primary in self._lost:
+            return waited >= LOST_AFTER_S + rank * RANK_STEP_S
+        settled = trio.current_time() - self._since
+        return not record.started and settled >= rank * RANK_STEP_S
+
+    async def _probe_all(self, definition: UpstreamGroup) -> None:
+        found: dict[SlotId, SlotStatus] = {}
+
+        async def probe(slot: SlotId) -> None:
+            try:
+                with trio.fail_after(PROBE_TIMEOUT_S):
+                    found[slot] = await self._ports.find_slot(slot).fetch_status()
+            except (SlotUnreachable, trio.TooSlowError):
+                self._metrics.count("guardian.probe_failed")
+
+        async with trio.open_nursery() as nursery:
+            for slot in definition.slots:
+                nursery.start_soon(probe, slot.name)
+        now = trio.current_time()
+        self._statuses = found
+        for slot in definition.slots:
+            if slot.name in found:
+                self._answered_at[slot.name] = now
+                self._steady_since.setdefault(slot.name, now)
+            else:
+                self._answered_at.setdefault(slot.name, self._since)
+                self._steady_since.pop(slot.name, None)
+
+    async def _judge_primary(self, record: GroupRecord, rank: int) -> None:
+        primary = record.primary
+        silent_s = trio.current_time() - self._answered_at.get(primary, self._since)
+        if primary in self._statuses:
+            self._lost = frozenset()
+            return
+        if silent_s < SUSPECT_AFTER_S:
+            return
+        self._timeline.add(EventKind.PRIMARY_SUSPECT, self.group, primary)
+        agreed = await self._ports.ask_others(primary)
+        silent_s = trio.current_time() - self._answered_at.get(primary, self._since)
+        needed_s = LOST_AFTER_S + rank * RANK_STEP_S
+        is_lost = agreed and silent_s >= needed_s
+        self._lost = frozenset({primary}) if is_lost else frozenset()
+
+    def _make_view(self, definition: UpstreamGroup, rank: int) -> GroupView:
+        now = trio.current_time()
+        names = [slot.name for slot in definition.slots]
+        mute = {s for s in names if now - self._answered_at[s] >= MUTE_AFTER_S}
+        steady = {
+            slot
+            for slot, since in self._steady_since.items()
+            if now - since >= STEADY_AFTER_S
+        }
+        return GroupView(
+            statuses=self._statuses,
+            lost=self._lost,
+            mute=frozenset(mute),
+            steady=frozenset(steady),
+            leaving=self._find_leaving(),
+            eligible=self._ports.find_catalog().find_confirming(definition),
+        )
+
+    def _find_leaving(self) -> frozenset[SlotId]:
+        said = {slot for slot, status in self._statuses.items() if status.leaving}
+        return self._ports.find_leaving() | said
+
+    async def _act(self, known: KnownRecord, action: Action) -> None:
+        try:
+            with trio.fail_after(STORE_TIMEOUT_S):
+                if isinstance(action, Swap):
+                    await self._swap(known, action)
+                elif isinstance(action, Promote):
+                    await self._promote(known, action)
+                else:
+                    await self._order_follow(action)
+        except (OrderRefused, SlotUnreachable, trio.TooSlowError) as error:
+            log.info("%s: %s", self.group, error)
+
+    async def _promote(self, known: KnownRecord, action: Promote) -> None:
+        status = await self._ports.find_slot(action.slot).promote(action.term)
+        self._statuses[action.slot] = status
+        for following in decide(known.record, GroupView(self._statuses)):
+            if isinstance(following, Swap):
+                await self._swap(known, following)
+
+    async def _order_follow(self, action: Follow) -> None:
+        address = self._ports.find_catalog().slots[action.primary].address
+        slot = self._ports.find_slot(action.slot)
+        await slot.follow(action.primary, address, action.term)
+        self._timeline.add(EventKind.SLOT_FOLLOWS, self.group, action.slot)
+
+    async def _swap(self, known: KnownRecord, swap: Swap) -> None:
+        value = msgspec.json.encode(swap.record)
+        try:
+            revision = await self._store.compare_and_swap(
+                known.key, known.revision, value
+            )
+        except (StoreConflict, StoreUnavailable) as error:
+            self._metrics.count("guardian.swap_failed")
+            log.info("%s: %s", self.group, error)
+            await self._reload()
+            return
+        new = KnownRecord(self.group, revision, swap.record)
+        await self._ports.publish_record(new)
+        detail = f"term {swap.record.term} primary {swap.record.primary}"
+        self._timeline.add(swap.event, self.group, detail)
+        self._metrics.count(f"guardian.{swap.event.value}")
+        if swap.event is EventKind.TERM_PROPOSED:
+            order = Promote(swap.record.primary, swap.record.term)
+            await self._promote(new, order)
+        elif swap.event is EventKind.TERM_STARTED:
+            await self._order_all_to_follow(swap.record)
+
+    async def _order_all_to_follow(self, record: GroupRecord) -> None:
+        for action in decide(record, GroupView(self._statuses)):
+            if isinstance(action, Follow):
+                await self._order_follow(action)
+
+    async def _reload(self) -> None:
+        try:
+            entry = await self._store.get(KEY_PREFIX + self.group)
+        except StoreUnavailable:
+            return
+        if entry is not None:
+            record = msgspec.json.decode(entry.value, type=GroupRecord)
+            known = KnownRecord(self.group, entry.revision, record)
+            await self._ports.publish_record(known)
+
+    async def _load_or_create(self, definition: UpstreamGroup) -> KnownRecord | None:
+        await self._reload()
+        known = self._book.find(self.group)
+        if known is not None:
+            return known
+        eligible = self._ports.find_catalog().find_confirming(definition)
+        record = make_first_record(definition.slots[0].name, eligible)
+        absent = KnownRecord(self.group, 0, record)
+        await self._swap(absent, Swap(record, EventKind.TERM_PROPOSED))
+        return self._book.find(self.group)
--- /dev/null
+++ b/celeryfold/home/home.py
@@ -0,0 +1,98 @@
+"""Serve the requests that entries send for the slots placed on this instance."""
+
+from __future__ import annotations
+
+__all__ = ["Home"]
+
+import trio
+
+from ..groups.acknowledgement import Acknowledgements
+from ..groups.book import RecordBook
+from ..groups.freshness import Sample
+from ..groups.sampling import SampleDesk, SampleTaker
+from ..kernel.ids import GroupId, SlotId
+from ..kernel.metrics import Metrics
+from .messages import TakeSample, TakeSampleReply
+from .pool import SlotPool
+from .ports import HomePorts
+from .reads import Reader
+from .transactions import Transactions
+from .writes import Writer
+
+TEND_INTERVAL_S = 0.5
+DEFAULT_CONNECTION_LIMIT = 16
+
+
+class Home:
+    """Own the pools of this instance and what runs on them."""
+
+    def __init__(self, ports: HomePorts, book: RecordBook, metrics: Metrics) -> None:
+        self._ports = ports
+        self._book = book
+        self._metrics = metrics
+        self._nursery: trio.Nursery | None = None
+        self.pools: dict[str, SlotPool] = {}
+        self._acknowledgements: dict[GroupId, Acknowledgements] = {}
+        self._takers: dict[GroupId, SampleTaker] = {}
+        self._desks: dict[GroupId, SampleDesk] = {}
+        self.writer = Writer(
+            ports, book, metrics, self._find_pool, self._find_acknowledgements
+        )
+        self.reader = Reader(ports, book, metrics, self._find_pool, self._find_desk)
+        self.transactions = Transactions(ports, self.writer, self._find_pool)
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Begin to tend pools and transactions."""
+        self._nursery = nursery
+        nursery.start_soon(self._tend)
+
+    async def take_sample(self, request: TakeSample) -> TakeSampleReply:
+        """Take a sample of a group's acknowledged position."""
+        taker = self._takers.get(request.group)
+        if taker is None:
+            taker = SampleTaker(request.group, self._book, self._ports.find_slot)
+            self._takers[request.group] = taker
+        sample = await taker.take()
+        return TakeSampleReply(sample.term, sample.position)
+
+    def _find_pool(self, slot: str) -> SlotPool:
+        if slot not in self.pools:
+            name = SlotId(slot)
+            definition = self._ports.find_catalog().slots.get(name)
+            limit = DEFAULT_CONNECTION_LIMIT
+            if definition is not None:
+                limit = definition.connection_limit
+            driver = self._ports.find_slot(name)
+            self.pools[slot] = SlotPool(driver, limit, self._metrics)
+        return self.pools[slot]
+
+    def _find_acknowledgements(self, group: GroupId) -> Acknowledgements:
+        assert self._nursery is not None
+        if group not in self._acknowledgements:
+            self._acknowledgements[group] = Acknowledgements(
+                group, self._book, self._ports.find_slot, self._nursery
+            )
+        return self._acknowledgements[group]
+
+    def _find_desk(self, group: GroupId) -> SampleDesk:
+        assert self._nursery is not None
+        if group not in self._desks:
+
+            async def fetch() -> Sample:
+                return await self._ports.ask_sample(group)
+
+            self._desks[group] = SampleDesk(fetch, self._nursery)
+        return self._desks[group]
+
+    async def _tend(self) -> None:
+        while True:
+            await trio.sleep(TEND_INTERVAL_S)
+            await self.transactions.tend()
+            for slot, pool in list(self.pools.items()):
+                await pool.tend(self._ports.is_mine(SlotId(slot)))
+
+    async def close(self) -> None:
+        """Undo open transactions and close every connection."""
+        await self.transactions.close()
+        for pool in self.pools.values():
+            await pool.close()
--- /dev/null
+++ b/celeryfold/home/ports.py
@@ -0,0 +1,38 @@
+"""What the home of slots needs of the instance that it runs in."""
+
+from __future__ import annotations
+
+__all__ = ["HomePorts"]
+
+from abc import ABC, abstractmethod
+
+from ..config.objects import Catalog
+from ..groups.freshness import Sample
+from ..kernel.ids import GroupId, InstanceId, SlotId
+from ..platform.slot import Slot
+
+
+class HomePorts(ABC):
+    """Give access to drivers, configuration and other instances."""
+
+    instance_id: InstanceId
+
+    @abstractmethod
+    def find_slot(self, slot: SlotId) -> Slot:
+        """Return the driver of a slot."""
+
+    @abstractmethod
+    def find_catalog(self) -> Catalog:
+        """Return the configuration in force."""
+
+    @abstractmethod
+    def find_leaving(self) -> frozenset[SlotId]:
+        """Return the slots that get no new work."""
+
+    @abstractmethod
+    def is_mine(self, slot: SlotId) -> bool:
+        """Tell whether a slot is placed on this instance."""
+
+    @abstractmethod
+    async def ask_sample(self, group: GroupId) -> Sample:
+        """Ask the home of a group's primary for a sample."""
--- /dev/null
+++ b/celeryfold/home/reads.py
@@ -0,0 +1,116 @@
+"""Run reads on one slot and answer only with data that is fresh enough."""
+
+from __future__ import annotations
+
+__all__ = ["Reader", "includes"]
+
+from collections.abc import Callable
+
+import trio
+
+from ..exceptions import RequestFailure
+from ..groups.book import RecordBook
+from ..groups.sampling import SampleDesk
+from ..kernel.errors import ErrorKind
+from ..kernel.ids import GroupId, Position, SlotId, Term
+from ..kernel.metrics import Metrics
+from ..platform.slot import BatchAnswer
+from .messages import RunRead, StatementAnswer
+from .pool import SlotPool
+from .ports import HomePorts
+from .running import run_batch
+
+CATCH_UP_STEP_S = 0.005
+
+
+def includes(answer: BatchAnswer, term: Term, position: Position) -> bool:
+    """Tell whether an answer shows an acknowledged write of a term and position.
+
+    Each started term holds every write that an earlier one acknowledged.
+    """
+    if answer.term != term:
+        return answer.term > term
+    return answer.position >= position
+
+
+class Reader:
+    """Run reads for the slots that are placed here."""
+
+    def __init__(
+        self,
+        ports: HomePorts,
+        book: RecordBook,
+        metrics: Metrics,
+        find_pool: Callable[[str], SlotPool],
+        find_desk: Callable[[GroupId], SampleDesk],
+    ) -> None:
+        self._ports = ports
+        self._book = book
+        self._metrics = metrics
+        self._find_pool = find_pool
+        self._find_desk = find_desk
+
+    async def run(self, request: RunRead) -> StatementAnswer:
+        """Run one read, waiting a little for the slot to catch up.
+
+        :raises RequestFailure: ``too_stale`` where the slot is too far behind.
+        """
+        arrived = trio.current_time()
+        deadline = arrived + request.budget_s
+        if request.slot in self._ports.find_leaving():
+            raise RequestFailure(ErrorKind.NOT_RUN, f"{request.slot} is leaving")
+        desk = self._find_desk(request.group)
+        desk.prefetch(request.accepted_age_s)
+        give_up_at = min(arrived + request.local_wait_s, deadline)
+        step_s = CATCH_UP_STEP_S
+        while True:
+            answer = await self._execute(request, deadline)
+            if await self._is_fresh(request, answer, arrived, deadline):
+                return StatementAnswer(
+                    request.request_id,
+                    answer.results[0],
+                    answer.term,
+                    answer.position,
+                    request.slot,
+                )
+            if trio.current_time() + step_s > give_up_at:
+                self._metrics.count("home.too_stale")
+                text = f"{request.slot} is behind what was asked for"
+                raise RequestFailure(ErrorKind.TOO_STALE, text)
+            await trio.sleep(step_s)
+            step_s *= 2
+
+    async def _execute(self, request: RunRead, deadline: float) -> BatchAnswer:
+        pool = self._find_pool(request.slot)
+        shape = request.statement.text
+        lease = await pool.acquire(request.service, request.weight, shape, deadline)
+        try:
+            return await run_batch(
+                lease,
+                [request.statement],
+                deadline,
+                begin=True,
+                commit=True,
+                writes=False,
+            )
+        finally:
+            await pool.release(lease, shape)
+
+    async def _is_fresh(
+        self, request: RunRead, answer: BatchAnswer, arrived: float, deadline: float
+    ) -> bool:
+        if not includes(answer, request.seen_term, request.seen_position):
+            return False
+        desk = self._find_desk(request.group)
+        not_before = arrived - request.accepted_age_s
+        if desk.shelf.find(not_before) is None:
+            with trio.move_on_at(deadline):
+                await desk.refresh(not_before)
+        is_primary = self._is_primary(request.group, request.slot, answer.term)
+        return desk.shelf.vouches(answer, not_before, is_primary)
+
+    def _is_primary(self, group: GroupId, slot: SlotId, term: Term) -> bool:
+        known = self._book.find(group)
+        if known is None:
+            return False
+        return known.record.primary == slot and known.record.term == term
--- /dev/null
+++ b/celeryfold/home/transactions.py
@@ -0,0 +1,171 @@
+"""Open transactions: each owns its connection until it ends."""
+
+from __future__ import annotations
+
+__all__ = ["Transactions", "find_holder"]
+
+import secrets
+from collections.abc import Callable
+
+import trio
+
+from ..exceptions import RequestFailure
+from ..kernel.errors import ErrorKind
+from ..kernel.ids import (
+    GroupId,
+    InstanceId,
+    Position,
+    SlotId,
+    Term,
+    TransactionId,
+)
+from ..platform.slot import ResultSet, Statement
+from .messages import Begin, BeginReply, Finish, RunInTransaction, StatementAnswer
+from .outcomes import insert_outcome
+from .pool import Lease, SlotPool
+from .ports import HomePorts
+from .running import run_batch
+from .writes import Writer
+
+IDLE_LIMIT_S = 10.0
+NO_OPERATION = Statement("SELECT 1")
+
+
+def find_holder(transaction: TransactionId) -> InstanceId:
+    """Return the instance that holds a transaction."""
+    return InstanceId(transaction.rpartition("~")[0])
+
+
+class _Open:
+    def __init__(self, group: GroupId, slot: SlotId, lease: Lease) -> None:
+        self.group = group
+        self.slot = slot
+        self.lease = lease
+        self.busy = trio.Lock()
+        self.used_at = trio.current_time()
+        self.is_over = False
+
+
+class Transactions:
+    """Hold the open transactions of this instance."""
+
+    def __init__(
+        self, ports: HomePorts, writer: Writer, find_pool: Callable[[str], SlotPool]
+    ) -> None:
+        self._ports = ports
+        self._writer = writer
+        self._find_pool = find_pool
+        self._open: dict[TransactionId, _Open] = {}
+
+    def __len__(self) -> int:
+        return len(self._open)
+
+    async def begin(self, request: Begin) -> BeginReply:
+        """Open a transaction on the group's primary.
+
+        :raises RequestFailure: where its key was used before.
+        """
+        deadline = trio.current_time() + request.budget_s
+        record = self._writer.find_record(request.group)
+        pool = self._find_pool(record.primary)
+        lease = await pool.acquire(request.service, request.weight, "begin", deadline)
+        first = NO_OPERATION
+        if request.key:
+            first = insert_outcome(request.key, request.digest)
+        try:
+            answer = await run_batch(lease, [first], deadline, begin=True)
+            if request.key and not answer.results[0].n_changed:
+                lease.is_broken = True
+                text = "the key was used before; ask for its outcome"
+                raise RequestFailure(ErrorKind.KEY_REUSED, text)
+        except BaseException:
+            await pool.release(lease)
+            raise
+        name = f"{self._ports.instance_id}~{secrets.token_hex(8)}"
+        transaction = TransactionId(name)
+        self._open[transaction] = _Open(request.group, record.primary, lease)
+        return BeginReply(transaction)
+
+    def _find(self, transaction: TransactionId) -> _Open:
+        found = self._open.get(transaction)
+        if found is None:
+            text = "no such transaction is open; begin a new one"
+            raise RequestFailure(ErrorKind.UNKNOWN_TRANSACTION, text)
+        return found
+
+    def _find_to_finish(self, request: Finish) -> _Open:
+        if request.commit and request.transaction not in self._open:
+            text = "no such transaction is open; it may have been committed before"
+            raise RequestFailure(ErrorKind.OUTCOME_UNKNOWN, text)
+        return self._find(request.transaction)
+
+    async def run(self, request: RunInTransaction) -> StatementAnswer:
+        """Run a statement in a transaction; a failure ends and undoes it."""
+        held = self._find(request.transaction)
+        deadline = trio.current_time() + request.budget_s
+        async with held.busy:
+            if held.is_over:
+                raise RequestFailure(ErrorKind.TRANSACTION_LOST, "it has ended")
+            try:
+                answer = await run_batch(held.lease, [request.statement], deadline)
+            except RequestFailure as failure:
+                await self._end(request.transaction, held)
+                if failure.kind is ErrorKind.STATEMENT_FAILED:
+                    raise
+                text = f"the transaction was undone: {failure.message}"
+                raise RequestFailure(ErrorKind.TRANSACTION_LOST, text) from failure
+            except BaseException:
+                await self._end(request.transaction, held)
+                raise
+            held.used_at = trio.current_time()
+        return StatementAnswer(
+            request.request_id,
+            answer.results[0],
+            answer.term,
+            answer.position,
+            held.slot,
+        )
+
+    async def finish(self, request: Finish) -> StatementAnswer:
+        """Commit a transaction and wait until it is confirmed, or undo it."""
+        held = self._find_to_finish(request)
+        deadline = trio.current_time() + request.budget_s
+        async with held.busy:
+            if held.is_over:
+                held = self._find_to_finish(request)
+            held.lease.is_broken = True
+            try:
+                if not request.commit:
+                    return _answer(request, held, Term(0), Position(0))
+                done = await run_batch(
+                    held.lease, [NO_OPERATION], deadline, commit=True
+                )
+            finally:
+                await self._end(request.transaction, held)
+        await self._writer.confirm(held.group, done.term, done.position, deadline)
+        return _answer(request, held, done.term, done.position)
+
+    async def _end(self, transaction: TransactionId, held: _Open) -> None:
+        held.is_over = True
+        self._open.pop(transaction, None)
+        await self._find_pool(held.slot).release(held.lease)
+
+    async def tend(self) -> None:
+        """Undo transactions whose callers have left them idle."""
+        oldest = trio.current_time() - IDLE_LIMIT_S
+        for transaction, held in list(self._open.items()):
+            if held.used_at < oldest and not held.busy.locked():
+                held.lease.is_broken = True
+                await self._end(transaction, held)
+
+    async def close(self) -> None:
+        """Undo every open transaction."""
+        for transaction, held in list(self._open.items()):
+            held.lease.is_broken = True
+            await self._end(transaction, held)
+
+
+def _answer(
+    request: Finish, held: _Open, term: Term, position: Position
+) -> StatementAnswer:
+    return StatementAnswer(request.request_id, ResultSet(), term, position, held.slot)
--- /dev/null
+++ b/celeryfold/home/work.py
@@ -0,0 +1,49 @@
+"""How long statements of one shape have run, and which are long."""
+
+from __future__ import annotations
+
+__all__ = ["Lane", "WorkHistory"]
+
+from enum import Enum
+
+SMOOTHING = 0.2
+FIRST_GUESS_S = 0.01
+LONG_FACTOR = 8.0
+LONG_AT_LEAST_S = 0.05
+N_SHAPES_KEPT = 2000
+
+
+class Lane(Enum):
+    """Tell whether a statement is expected to be short or long."""
+
+    SHORT = "short"
+    LONG = "long"
+
+
+class WorkHistory:
+    """Learn the running time of statement shapes on one slot."""
+
+    def __init__(self) -> None:
+        self._mean_s: dict[str, float] = {}
+        self.typical_s = FIRST_GUESS_S
+
+    def expect_s(self, shape: str) -> float:
+        """Return the expected running time of a shape in seconds."""
+        return self._mean_s.get(shape, self.typical_s)
+
+    def find_lane(self, shape: str) -> Lane:
+        """Return the lane in which a shape waits."""
+        return Lane.LONG if self.is_long(self.expect_s(shape)) else Lane.SHORT
+
+    def is_long(self, seconds: float) -> bool:
+        """Tell whether a running time counts as long on this slot."""
+        return seconds >= max(LONG_AT_LEAST_S, LONG_FACTOR * self.typical_s)
+
+    def record(self, shape: str, seconds: float) -> None:
+        """Learn from one finished statement."""
+        known_s = self._mean_s.pop(shape, seconds)
+        self._mean_s[shape] = known_s + SMOOTHING * (seconds - known_s)
+        if len(self._mean_s) > N_SHAPES_KEPT:
+            del self._mean_s[next(iter(self._mean_s))]
+        if not self.is_long(seconds):
+            self.typical_s += SMOOTHING * (seconds - self.typical_s)
--- /dev/null
+++ b/celeryfold/home/writes.py
@@ -0,0 +1,182 @@
+"""Run writes on the primary: at most once with a key, acknowledged when confirmed."""
+
+from __future__ import annotations
+
+__all__ = ["Writer"]
+
+from collections.abc import Callable
+
+import trio
+
+from ..exceptions import RequestFailure
+from ..groups.acknowledgement import Acknowledgements
+from ..groups.book import RecordBook
+from ..groups.record import GroupRecord
+from ..kernel.errors import ErrorKind
+from ..kernel.ids import GroupId, Position, Term
+from ..kernel.metrics import Metrics
+from ..platform.slot import BatchAnswer, ResultSet
+from .messages import CancelKey, RunWrite, StatementAnswer
+from .outcomes import (
+    CANCELLED,
+    find_outcome,
+    insert_outcome,
+    read_outcome,
+    update_outcome,
+)
+from .pool import Lease, SlotPool
+from .ports import HomePorts
+from .running import run_batch
+
+CANCEL_SHAPE = "celeryfold cancel"
+
+
+class Writer:
+    """Run writes for the groups whose primaries are placed here."""
+
+    def __init__(
+        self,
+        ports: HomePorts,
+        book: RecordBook,
+        metrics: Metrics,
+        find_pool: Callable[[str], SlotPool],
+        find_acknowledgements: Callable[[GroupId], Acknowledgements],
+    ) -> None:
+        self._ports = ports
+        self._book = book
+        self._metrics = metrics
+        self._find_pool = find_pool
+        self._find_acknowledgements = find_acknowledgements
+
+    def find_record(self, group: GroupId) -> GroupRecord:
+        """Return the record of a group that can take writes now.
+
+        :raises RequestFailure: where it has no started primary that stays.
+        """
+        known = self._book.find(group)
+        if known is None or not known.record.started:
+            raise RequestFailure(ErrorKind.NO_PRIMARY, f"{group} has no primary yet")
+        if known.record.primary in self._ports.find_leaving():
+            raise RequestFailure(ErrorKind.NO_PRIMARY, f"{group}: primary is leaving")
+        return known.record
+
+    async def run(self, request: RunWrite) -> StatementAnswer:
+        """Run one write and return its acknowledged answer."""
+        deadline = trio.current_time() + request.budget_s
+        record = self.find_record(request.group)
+        pool = self._find_pool(record.primary)
+        shape = request.statement.text
+        lease = await pool.acquire(request.service, request.weight, shape, deadline)
+        is_replay = False
+        try:
+            if request.key:
+                answer, result, is_replay = await self._run_once(
+                    lease, request, deadline
+                )
+            else:
+                answer = await run_batch(
+                    lease, [request.statement], deadline, begin=True, commit=True
+                )
+                result = answer.results[0]
+        finally:
+            await pool.release(lease, shape)
+        self._metrics.count("home.replayed", int(is_replay))
+        await self.confirm(request.group, answer.term, answer.position, deadline)
+        return StatementAnswer(
+            request.request_id,
+            result,
+            answer.term,
+            answer.position,
+            record.primary,
+            is_replay,
+        )
+
+    async def confirm(
+        self, group: GroupId, term: Term, position: Position, deadline: float
+    ) -> None:
+        """Return once a write may be acknowledged.
+
+        :raises RequestFailure: where that cannot be known.
+        """
+        acknowledgements = self._find_acknowledgements(group)
+        if not await acknowledgements.wait(term, position, deadline):
+            self._metrics.count("home.unconfirmed")
+            text = "the write was not confirmed; it may or may not survive"
+            raise RequestFailure(ErrorKind.OUTCOME_UNKNOWN, text)
+
+    async def _run_once(
+        self, lease: Lease, request: RunWrite, deadline: float
+    ) -> tuple[BatchAnswer, ResultSet, bool]:
+        claim = insert_outcome(request.key, request.digest)
+        statements = [claim, request.statement]
+        answer = await self._run_claiming(lease, statements, request, deadline)
+        if answer is None:
+            found = await self._look_up(lease, request.key, deadline)
+            recorded = read_outcome(found.results[0], request.digest)
+            if recorded is None:
+                raise RequestFailure(ErrorKind.NOT_RUN, "the key's first try ended")
+            return found, recorded, True
+        result = answer.results[1]
+        record = update_outcome(request.key, result)
+        committed = await run_batch(lease, [record], deadline, commit=True)
+        return committed, result, False
+
+    async def _run_claiming(
+        self, lease: Lease, statements: list, request: RunWrite, deadline: float
+    ) -> BatchAnswer | None:
+        """Claim the key and run the statement, uncommitted; None where it is taken."""
+        try:
+            answer = await run_batch(lease, statements, deadline, begin=True)
+        except RequestFailure as failure:
+            if failure.kind is not ErrorKind.STATEMENT_FAILED:
+                raise
+            found = await self._look_up(lease, request.key, deadline)
+            if not found.results[0].rows:
+                raise
+            return None
+        if answer.results[0].n_changed:
+            return answer
+        lease.is_broken = True
+        await lease.connection.rollback()
+        lease.is_broken = False
+        return None
+
+    async def _look_up(self, lease: Lease, key: str, deadline: float) -> BatchAnswer:
+        return await run_batch(
+            lease,
+            [find_outcome(key)],
+            deadline,
+            begin=True,
+            commit=True,
+            writes=False,
+        )
+
+    async def cancel(self, request: CancelKey) -> StatementAnswer:
+        """Claim a key as cancelled, or return the answer it has.
+
+        :raises RequestFailure: ``key_cancelled`` once it is sure never to run.
+        """
+        deadline = trio.current_time() + request.budget_s
+        record = self.find_record(request.group)
+        pool = self._find_pool(record.primary)
+        lease = await pool.acquire(
+            request.service, request.weight, CANCEL_SHAPE, deadline
+        )
+        try:
+            claim = insert_outcome(request.key, CANCELLED)
+            statements = [claim, find_outcome(request.key)]
+            answer = await run_batch(
+                lease, statements, deadline, begin=True, commit=True
+            )
+        finally:
+            await pool.release(lease)
+        await self.confirm(request.group, answer.term, answer.position, deadline)
+        recorded = read_outcome(answer.results[1], None)
+        return StatementAnswer(
+            request.request_id,
+            recorded or ResultSet(),
+            answer.term,
+            answer.position,
+            record.primary,
+            True,
+        )
--- /dev/null
+++ b/celeryfold/instance.py
@@ -0,0 +1,320 @@
+"""An instance: entry to callers, home of slots, guardian of groups."""
+
+from __future__ import annotations
+
+__all__ = ["Instance", "Platform"]
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+import trio
+
+from .config.adoption import Configuration
+from .config.objects import Catalog, SlotDefinition
+from .entry.entry import Entry, EntryPorts
+from .entry.router import Router
+from .entry.sessions import SessionTokens
+from .exceptions import CeleryfoldError, RequestFailure
+from .fleet.knowledge import Knowledge
+from .fleet.link import PeerLink
+from .fleet.members import Member, SlotNews
+from .fleet.membership import Membership
+from .fleet.messages import CheckSlot, CheckSlotReply
+from .fleet.placement import Placement
+from .fleet.watching import Watcher
+from .groups.book import KnownRecord, RecordBook
+from .groups.freshness import Sample
+from .groups.guardian import Guardian, GuardianPorts
+from .home.home import Home
+from .home.messages import (
+    Begin,
+    CancelKey,
+    Finish,
+    RunInTransaction,
+    RunRead,
+    RunWrite,
+    TakeSample,
+)
+from .home.ports import HomePorts
+from .kernel.errors import ErrorKind
+from .kernel.events import EventKind, Timeline
+from .kernel.ids import GroupId, InstanceId, SlotId
+from .kernel.metrics import Metrics
+from .platform.listing import InstanceList
+from .platform.slot import Slot
+from .platform.store import Store
+
+log = logging.getLogger(__name__)
+
+GUARD_INTERVAL_S = 0.5
+CHECK_SLOT_TIMEOUT_S = 0.6
+ASK_TIMEOUT_S = 1.0
+SAMPLE_TIMEOUT_S = 1.0
+REPLY_MARGIN_S = 0.1
+N_WITNESSES = 3
+
+
+@dataclass(frozen=True)
+class Platform:
+    """Bundle the drivers of everything outside the fleet.
+
+    :param open_slot: opens the driver of a slot.
+    """
+
+    store: Store
+    instance_list: InstanceList
+    open_slot: Callable[[SlotDefinition], Slot]
+
+
+class Instance(EntryPorts, HomePorts, GuardianPorts):
+    """One instance with all its roles.
+
+    :param me: this instance as others shall know it.
+    :param secret: signs session tokens, the same on all instances.
+    """
+
+    def __init__(
+        self,
+        me: Member,
+        platform: Platform,
+        link: PeerLink,
+        secret: bytes,
+        timeline: Timeline,
+        metrics: Metrics,
+    ) -> None:
+        self.instance_id = me.instance_id
+        self.platform = platform
+        self.link = link
+        self.timeline = timeline
+        self.metrics = metrics
+        self.configuration = Configuration()
+        self.book = RecordBook()
+        self.knowledge = Knowledge(
+            me.address, self.configuration, self.book, platform.store, link, timeline
+        )
+        self.membership = Membership(me, link, self.knowledge, timeline, metrics)
+        self.placement = Placement(self.membership, self.find_catalog)
+        self.watcher = Watcher(platform, self.membership, self.knowledge, timeline)
+        self.home = Home(self, self.book, metrics)
+        router = Router(
+            me.place,
+            self.find_catalog,
+            self.find_leaving,
+            self.membership.usable,
+            self.placement.find_home,
+            self.book,
+        )
+        self.entry = Entry(
+            self, router, self.book, SessionTokens(secret), timeline, metrics
+        )
+        self._slots: dict[SlotId, tuple[SlotDefinition, Slot]] = {}
+        self._guarded: set[GroupId] = set()
+        self._nursery: trio.Nursery | None = None
+        self._n_serving = 0
+        self._local_handlers: dict[type, Callable[[Any], Any]] = {
+            RunRead: self.home.reader.run,
+            RunWrite: self.home.writer.run,
+            CancelKey: self.home.writer.cancel,
+            Begin: self.home.transactions.begin,
+            RunInTransaction: self.home.transactions.run,
+            Finish: self.home.transactions.finish,
+            TakeSample: self.home.take_sample,
+        }
+        for kind in self._local_handlers:
+            link.on(kind, self._serve)
+        link.on(CheckSlot, self._check_slot)
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Join the fleet and take up all roles."""
+        self._nursery = nursery
+        self.timeline.add(EventKind.INSTANCE_STARTED, self.instance_id)
+        await self.knowledge.start(nursery, self.membership)
+        await self.watcher.start(nursery)
+        await self.membership.start(nursery)
+        await self.home.start(nursery)
+        nursery.start_soon(self._guard)
+
+    async def leave(self, drain_s: float) -> None:
+        """Tell the fleet to place work elsewhere and finish what runs here."""
+        self.timeline.add(EventKind.INSTANCE_LEAVING, self.instance_id)
+        await self.membership.leave()
+        with trio.move_on_after(drain_s):
+            while self._n_serving or len(self.home.transactions):
+                await trio.sleep(0.02)
+
+    async def close(self) -> None:
+        """Release everything."""
+        await self.home.close()
+        for _, slot in self._slots.values():
+            await slot.close()
+        await self.platform.store.close()
+        await self.platform.instance_list.close()
+        await self.link.close()
+
+    async def tell_leaving(self, slot: SlotId, leaving: bool) -> None:
+        """Take an operator's word that a slot leaves or returns.
+
+        :raises RequestFailure: where no such slot is defined.
+        """
+        if slot not in self.find_catalog().slots:
+            raise RequestFailure(ErrorKind.NOT_FOUND, f"slot '{slot}' is not defined")
+        stamp_ms, _ = self.timeline.clock.advance()
+        await self.knowledge.publish_slot(SlotNews(slot, leaving, stamp_ms))
+
+    def find_catalog(self) -> Catalog:
+        """Return the configuration in force."""
+        return self.configuration.catalog
+
+    def find_leaving(self) -> frozenset[SlotId]:
+        """Return the slots that get no new work."""
+        return self.knowledge.leaving
+
+    def find_member(self, instance: InstanceId) -> Member | None:
+        """Return a member of the fleet."""
+        return self.membership.find(instance)
+
+    def find_slot(self, slot: SlotId) -> Slot:
+        """Return the driver of a slot, opened anew where its definition changed."""
+        definition = self.find_catalog().slots.get(slot)
+        known = self._slots.get(slot)
+        if known is not None and (definition is None or known[0] == definition):
+            return known[1]
+        if definition is None:
+            raise RequestFailure(ErrorKind.NOT_RUN, f"slot '{slot}' is not defined")
+        driver = self.platform.open_slot(definition)
+        self._slots[slot] = (definition, driver)
+        return driver
+
+    def is_mine(self, slot: SlotId) -> bool:
+        """Tell whether a slot is placed on this instance."""
+        if slot not in self.find_catalog().slots:
+            return False
+        home = self.placement.find_home(slot)
+        return home is not None and home.instance_id == self.instance_id
+
+    def find_rank(self, group: GroupId) -> int | None:
+        """Return this instance's rank among the group's guardians, or None."""
+        definition = self.find_catalog().groups.get(group)
+        if definition is None:
+            return None
+        known = self.book.find(group)
+        primary = known.record.primary if known else definition.slots[0].name
+        if primary not in self.find_catalog().slots:
+            primary = definition.slots[0].name
+        guardians = self.placement.find_guardians(group, primary)
+        for rank, member in enumerate(guardians):
+            if member.instance_id == self.instance_id:
+                return rank
+        return None
+
+    async def send(
+        self, home: Member, message: msgspec.Struct, timeout_s: float
+    ) -> Any:
+        """Send a request to an instance, or serve it here where it is this one."""
+        if home.instance_id == self.instance_id:
+            return await self._serve(message)
+        self._count_crossing(home, message)
+        return await self.link.request(
+            home.address, message, timeout_s + REPLY_MARGIN_S
+        )
+
+    def _count_crossing(self, home: Member, message: msgspec.Struct) -> None:
+        regions = self.find_catalog().regions
+        if regions.get(home.place) != regions.get(self.membership.me.place):
+            name = type(message).__name__
+            n_bytes = len(msgspec.msgpack.encode(message))
+            self.metrics.count(f"region.requests.{name}")
+            self.metrics.count(f"region.bytes.{name}", n_bytes)
+
+    async def _serve(self, message: Any) -> Any:
+        self._n_serving += 1
+        try:
+            return await self._local_handlers[type(message)](message)
+        finally:
+            self._n_serving -= 1
+
+    async def ask_sample(self, group: GroupId) -> Sample:
+        """Ask the home of a group's primary for a sample."""
+        known = self.book.find(group)
+        if known is None:
+            raise RequestFailure(ErrorKind.NO_PRIMARY, f"{group} has no primary yet")
+        home = self.placement.find_home(known.record.primary)
+        if home is None:
+            raise RequestFailure(ErrorKind.NO_PRIMARY, "no instance is alive")
+        asked_at = trio.current_time()
+        reply = await self.send(home, TakeSample(group), SAMPLE_TIMEOUT_S)
+        return Sample(reply.term, reply.position, asked_at)
+
+    async def _check_slot(self, request: CheckSlot) -> CheckSlotReply:
+        try:
+            with trio.fail_after(CHECK_SLOT_TIMEOUT_S):
+                await self.find_slot(request.slot).fetch_status()
+        except (CeleryfoldError, trio.TooSlowError):
+            return CheckSlotReply(False)
+        return CheckSlotReply(True)
+
+    async def publish_record(self, known: KnownRecord) -> None:
+        """Adopt a record and tell the fleet of it."""
+        await self.knowledge.publish_record(known)
+
+    async def ask_others(self, slot: SlotId) -> bool:
+        """Tell whether other instances agree that a slot is out of reach.
+
+        An instance that hears from nobody orders nothing.
+        """
+        others = [
+            member
+            for member in self.membership.usable()
+            if member.instance_id != self.instance_id
+        ]
+        if not others:
+            return len(self.membership.members) == 1
+        here = self.membership.me.place
+        others.sort(key=lambda member: member.place == here)
+        replies: list[bool] = []
+
+        async def ask(member: Member) -> None:
+            try:
+                reply = await self.link.request(
+                    member.address, CheckSlot(slot), ASK_TIMEOUT_S
+                )
+                replies.append(reply.reached)
+            except CeleryfoldError:
+                return
+
+        async with trio.open_nursery() as nursery:
+            for member in _spread(others):
+                nursery.start_soon(ask, member)
+        return bool(replies) and not any(replies)
+
+    async def _guard(self) -> None:
+        assert self._nursery is not None
+        while True:
+            for group in self.find_catalog().groups:
+                if group not in self._guarded and self.find_rank(group) is not None:
+                    self._guarded.add(group)
+                    self._nursery.start_soon(self._guard_group, group)
+            with trio.move_on_after(GUARD_INTERVAL_S):
+                await self.configuration.wait_adoption()
+
+    async def _guard_group(self, group: GroupId) -> None:
+        guardian = Guardian(
+            group, self, self.platform.store, self.book, self.timeline, self.metrics
+        )
+        try:
+            await guardian.run()
+        finally:
+            self._guarded.discard(group)
+
+
+def _spread(members: list[Member]) -> list[Member]:
+    """Return a few members, of different places where there are."""
+    chosen: list[Member] = []
+    for member in members:
+        if all(member.place != other.place for other in chosen):
+            chosen.append(member)
+    rest = [member for member in members if member not in chosen]
+    return (chosen + rest)[:N_WITNESSES]
--- /dev/null
+++ b/celeryfold/kernel/__init__.py
@@ -0,0 +1,9 @@
+"""Parts without knowledge of databases: ids, errors, events, metrics, plug-ins."""
+
+from __future__ import annotations
+
+__all__ = ["ANSWERS", "ErrorKind", "Event", "EventKind", "Metrics", "Ran", "Timeline"]
+
+from .errors import ANSWERS, ErrorKind, Ran
+from .events import Event, EventKind, Timeline
+from .metrics import Metrics
--- /dev/null
+++ b/celeryfold/kernel/errors.py
@@ -0,0 +1,78 @@
+"""The closed list of error kinds and the table from kind to answer."""
+
+from __future__ import annotations
+
+__all__ = ["ANSWERS", "Answer", "ErrorKind", "Ran"]
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Ran(Enum):
+    """Tell whether a failed request had an effect."""
+
+    NO = "no"
+    UNKNOWN = "unknown"
+
+
+class ErrorKind(Enum):
+    """Name each way in which a request can fail."""
+
+    BAD_REQUEST = "bad_request"
+    BODY_TOO_LARGE = "body_too_large"
+    HEADERS_TOO_LARGE = "headers_too_large"
+    NOT_FOUND = "not_found"
+    UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_TRANSACTION = "unknown_transaction"
+    INVALID_TOKEN = "invalid_token"
+    KEY_REUSED = "key_reused"
+    KEY_CANCELLED = "key_cancelled"
+    STATEMENT_FAILED = "statement_failed"
+    TRANSACTION_LOST = "transaction_lost"
+    OVERLOADED = "overloaded"
+    NOT_RUN = "not_run"
+    NO_PRIMARY = "no_primary"
+    TOO_STALE = "too_stale"
+    SHUTTING_DOWN = "shutting_down"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    CONFLICT = "conflict"
+    STORE_UNAVAILABLE = "store_unavailable"
+    INTERNAL = "internal"
+
+
+@dataclass(frozen=True)
+class Answer:
+    """Hold what a caller is told for one error kind.
+
+    :param status: HTTP status code.
+    :param ran: whether the request had an effect.
+    :param retry_after_s: seconds until a retry is worth while, or None for never.
+    """
+
+    status: int
+    ran: Ran
+    retry_after_s: float | None = None
+
+
+ANSWERS: dict[ErrorKind, Answer] = {
+    ErrorKind.BAD_REQUEST: Answer(400, Ran.NO),
+    ErrorKind.BODY_TOO_LARGE: Answer(413, Ran.NO),
+    ErrorKind.HEADERS_TOO_LARGE: Answer(431, Ran.NO),
+    ErrorKind.NOT_FOUND: Answer(404, Ran.NO),
+    ErrorKind.UNKNOWN_SERVICE: Answer(404, Ran.NO),
+    ErrorKind.UNKNOWN_TRANSACTION: Answer(404, Ran.NO),
+    ErrorKind.INVALID_TOKEN: Answer(400, Ran.NO),
+    ErrorKind.KEY_REUSED: Answer(422, Ran.NO),
+    ErrorKind.KEY_CANCELLED: Answer(409, Ran.NO),
+    ErrorKind.STATEMENT_FAILED: Answer(422, Ran.NO),
+    ErrorKind.TRANSACTION_LOST: Answer(409, Ran.NO, 0.0),
+    ErrorKind.OVERLOADED: Answer(503, Ran.NO, 0.5),
+    ErrorKind.NOT_RUN: Answer(503, Ran.NO, 0.2),
+    ErrorKind.NO_PRIMARY: Answer(503, Ran.NO, 1.0),
+    ErrorKind.TOO_STALE: Answer(503, Ran.NO, 0.5),
+    ErrorKind.SHUTTING_DOWN: Answer(503, Ran.NO, 0.1),
+    ErrorKind.OUTCOME_UNKNOWN: Answer(504, Ran.UNKNOWN, 0.5),
+    ErrorKind.CONFLICT: Answer(409, Ran.NO),
+    ErrorKind.STORE_UNAVAILABLE: Answer(503, Ran.UNKNOWN, 1.0),
+    ErrorKind.INTERNAL: Answer(500, Ran.UNKNOWN, 1.0),
+}
--- /dev/null
+++ b/celeryfold/kernel/ids.py
@@ -0,0 +1,38 @@
+"""Identifier and number types used throughout the package."""
+
+from __future__ import annotations
+
+__all__ = [
+    "Generation",
+    "GroupId",
+    "InstanceId",
+    "PlaceId",
+    "Position",
+    "RegionId",
+    "RequestId",
+    "ServiceId",
+    "SlotId",
+    "Term",
+    "TransactionId",
+    "make_request_id",
+]
+
+import secrets
+from typing import NewType
+
+InstanceId = NewType("InstanceId", str)
+PlaceId = NewType("PlaceId", str)
+RegionId = NewType("RegionId", str)
+ServiceId = NewType("ServiceId", str)
+GroupId = NewType("GroupId", str)
+SlotId = NewType("SlotId", str)
+RequestId = NewType("RequestId", str)
+TransactionId = NewType("TransactionId", str)
+Term = NewType("Term", int)
+Position = NewType("Position", int)
+Generation = NewType("Generation", int)
+
+
+def make_request_id() -> RequestId:
+    """Return a fresh random request id."""
+    return RequestId(secrets.token_hex(8))
--- /dev/null
+++ b/celeryfold/platform/http_slot.py
@@ -0,0 +1,170 @@
+"""The slot driver for servers that speak HTTP/1.1 with JSON bodies."""
+
+from __future__ import annotations
+
+__all__ = ["HttpConnection", "HttpSlot"]
+
+import ssl
+from collections.abc import Sequence
+from typing import Any, TypeVar
+
+import msgspec
+import trio
+
+from ..kernel.ids import Position, SlotId, Term
+from ..wire.client import HttpChannel, HttpClient, Unanswered, Unreachable
+from ..wire.messages import HttpResponse
+from .requests import ExecuteBody, FollowBody, PromoteBody, Refusal, RefusalKind
+from .slot import (
+    NO_POSITION,
+    SLOT_DRIVERS,
+    AnswerLost,
+    BatchAnswer,
+    Connection,
+    ConnectionRefused,
+    NotPrimary,
+    OrderRefused,
+    Slot,
+    SlotStatus,
+    SlotUnreachable,
+    Statement,
+    StatementRejected,
+)
+
+T = TypeVar("T")
+
+CONNECT_TIMEOUT_S = 2.0
+CONTROL_TIMEOUT_S = 1.0
+HTTP_OK = 200
+
+_REFUSALS = {
+    RefusalKind.LIMIT: ConnectionRefused,
+    RefusalKind.STATEMENT: StatementRejected,
+    RefusalKind.NOT_PRIMARY: NotPrimary,
+    RefusalKind.ORDER: OrderRefused,
+}
+
+_encoder = msgspec.json.Encoder()
+_answer_decoder = msgspec.json.Decoder(BatchAnswer)
+_status_decoder = msgspec.json.Decoder(SlotStatus)
+
+
+def _check(response: HttpResponse) -> bytes:
+    if response.status == HTTP_OK:
+        return response.body
+    try:
+        refusal = msgspec.json.decode(response.body, type=Refusal)
+    except msgspec.DecodeError as error:
+        raise AnswerLost(f"the slot answered {response.status}") from error
+    raise _REFUSALS[refusal.kind](refusal.message)
+
+
+def _decode(decoder: msgspec.json.Decoder[T], body: bytes) -> T:
+    try:
+        return decoder.decode(body)
+    except msgspec.DecodeError as error:
+        raise AnswerLost("the slot's answer cannot be read") from error
+
+
+class HttpConnection(Connection):
+    """One TCP connection that counts against the slot's limit."""
+
+    def __init__(self, channel: HttpChannel) -> None:
+        self._channel = channel
+
+    async def execute(
+        self,
+        statements: Sequence[Statement],
+        *,
+        begin: bool = False,
+        commit: bool = False,
+    ) -> BatchAnswer:
+        """Run a batch; see :class:`Connection`."""
+        body = _encoder.encode(ExecuteBody(tuple(statements), begin, commit))
+        return _decode(_answer_decoder, await self._post("/execute", body))
+
+    async def rollback(self) -> None:
+        """Undo the open transaction."""
+        await self._post("/rollback", b"")
+
+    async def _post(self, path: str, body: bytes) -> bytes:
+        try:
+            return _check(await self._channel.request("POST", path, body))
+        except (Unanswered, Unreachable) as error:
+            raise AnswerLost(str(error)) from error
+
+    async def close(self) -> None:
+        """Close the connection at once."""
+        await self._channel.close()
+
+
+class HttpSlot(Slot):
+    """A slot reached over HTTP.
+
+    :param address: IP number and port.
+    """
+
+    def __init__(
+        self, slot_id: SlotId, address: str, tls: ssl.SSLContext | None = None
+    ) -> None:
+        self.slot_id = slot_id
+        self.address = address
+        self._tls = tls
+        self._control = HttpClient(address, tls)
+
+    async def connect(self) -> Connection:
+        """Open a counted connection."""
+        channel = HttpChannel(self.address, self._tls)
+        try:
+            with trio.fail_after(CONNECT_TIMEOUT_S):
+                await channel.start()
+                _check(await channel.request("POST", "/connect"))
+        except (Unreachable, Unanswered, trio.TooSlowError, AnswerLost) as error:
+            await channel.close()
+            raise SlotUnreachable(f"{self.slot_id} does not connect") from error
+        except BaseException:
+            with trio.CancelScope(shield=True):
+                await channel.close()
+            raise
+        return HttpConnection(channel)
+
+    async def fetch_status(
+        self, wait_position: Position = NO_POSITION, wait_s: float = 0.0
+    ) -> SlotStatus:
+        """Return the slot's state."""
+        path = f"/status?position={wait_position}&wait_ms={int(wait_s * 1000)}"
+        body = await self._ask("GET", path, b"", CONTROL_TIMEOUT_S + wait_s)
+        return self._read_status(body)
+
+    async def promote(self, term: Term) -> SlotStatus:
+        """Order the slot to lead a term."""
+        return self._read_status(await self._order("/promote", PromoteBody(term)))
+
+    async def follow(self, primary: SlotId, address: str, term: Term) -> None:
+        """Order the slot to replicate."""
+        await self._order("/follow", FollowBody(primary, address, term))
+
+    def _read_status(self, body: bytes) -> SlotStatus:
+        try:
+            return _decode(_status_decoder, body)
+        except AnswerLost as error:
+            raise SlotUnreachable(f"{self.slot_id}: {error}") from error
+
+    async def _order(self, path: str, order: Any) -> bytes:
+        return await self._ask("POST", path, _encoder.encode(order), CONTROL_TIMEOUT_S)
+
+    async def _ask(
+        self, method: str, path: str, body: bytes, timeout_s: float
+    ) -> bytes:
+        try:
+            with trio.fail_after(timeout_s):
+                return _check(await self._control.request(method, path, body))
+        except (Unreachable, Unanswered, trio.TooSlowError, AnswerLost) as error:
+            raise SlotUnreachable(f"{self.slot_id} does not answer") from error
+
+    async def close(self) -> None:
+        """Close the control connections."""
+        await self._control.close()
+
+
+SLOT_DRIVERS.add("http", HttpSlot)
--- /dev/null
+++ b/celeryfold/platform/http_store.py
@@ -0,0 +1,102 @@
+"""HTTP drivers of the key-value service and of the list of instances."""
+
+from __future__ import annotations
+
+__all__ = ["HttpInstanceList", "HttpStore"]
+
+from urllib.parse import quote
+
+import msgspec
+import trio
+
+from ..kernel.metrics import Metrics
+from ..wire.client import HttpClient, Unanswered, Unreachable
+from .listing import InstanceList, Listing, ListUnavailable
+from .requests import SwapBody, SwapResult, WatchResult
+from .store import Store, StoreConflict, StoreEntry, StoreUnavailable
+
+CALL_TIMEOUT_S = 1.0
+HTTP_OK = 200
+
+
+class HttpStore(Store):
+    """The key-value service over HTTP; counts each call by kind."""
+
+    def __init__(self, address: str, metrics: Metrics | None = None) -> None:
+        self._client = HttpClient(address)
+        self._metrics = metrics or Metrics()
+
+    async def get(self, key: str) -> StoreEntry | None:
+        """Return an entry, or None where the key is absent."""
+        path = f"/entry?key={quote(key, safe='')}"
+        body = await self._ask("get", "GET", path, b"", CALL_TIMEOUT_S)
+        return msgspec.json.decode(body, type=StoreEntry | None)
+
+    async def compare_and_swap(self, key: str, expected: int, value: bytes) -> int:
+        """Write a value where the key is at the expected revision."""
+        body = msgspec.json.encode(SwapBody(key, expected, value))
+        answer = await self._ask("swap", "POST", "/swap", body, CALL_TIMEOUT_S)
+        revision = msgspec.json.decode(answer, type=SwapResult).revision
+        if revision is None:
+            raise StoreConflict(f"{key} is no longer at revision {expected}")
+        return revision
+
+    async def watch(
+        self, prefix: str, after_revision: int, wait_s: float
+    ) -> list[StoreEntry]:
+        """Return entries below a prefix changed after a revision."""
+        wait_ms = int(wait_s * 1000)
+        path = f"/watch?prefix={quote(prefix, safe='')}"
+        path += f"&after={after_revision}&wait_ms={wait_ms}"
+        body = await self._ask("watch", "GET", path, b"", CALL_TIMEOUT_S + wait_s)
+        return msgspec.json.decode(body, type=WatchResult).entries
+
+    async def _ask(
+        self, kind: str, method: str, path: str, body: bytes, timeout_s: float
+    ) -> bytes:
+        self._metrics.count(f"store.{kind}")
+        try:
+            return await _request(self._client, method, path, body, timeout_s)
+        except _NoAnswer as error:
+            self._metrics.count("store.unavailable")
+            raise StoreUnavailable("the key-value service does not answer") from error
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._client.close()
+
+
+class HttpInstanceList(InstanceList):
+    """The list of instances over HTTP."""
+
+    def __init__(self, address: str) -> None:
+        self._client = HttpClient(address)
+
+    async def fetch(self) -> Listing:
+        """Return the list as it stands."""
+        try:
+            body = await _request(self._client, "GET", "/list", b"", CALL_TIMEOUT_S)
+        except _NoAnswer as error:
+            raise ListUnavailable("the list of instances does not answer") from error
+        return msgspec.json.decode(body, type=Listing)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._client.close()
+
+
+class _NoAnswer(Exception):
+    pass
+
+
+async def _request(
+    client: HttpClient, method: str, path: str, body: bytes, timeout_s: float
+) -> bytes:
+    try:
+        with trio.fail_after(timeout_s):
+            response = await client.request(method, path, body)
+    except (Unreachable, Unanswered, trio.TooSlowError) as error:
+        raise _NoAnswer from error
+    if response.status != HTTP_OK:
+        raise _NoAnswer(f"status {response.status}")
+    return response.body
--- /dev/null
+++ b/celeryfold/standins/__init__.py
@@ -0,0 +1,10 @@
+"""Small stand-ins for upstream slots, the key-value service and the list."""
+
+from __future__ import annotations
+
+__all__ = ["Faults", "ListEngine", "SlotEngine", "SlotShape", "StoreEngine"]
+
+from .faults import Faults
+from .listing import ListEngine
+from .slot import SlotEngine, SlotShape
+from .store import StoreEngine
--- /dev/null
+++ b/celeryfold/standins/local.py
@@ -0,0 +1,316 @@
+"""Drivers that reach the stand-ins and peers of one process over a local network."""
+
+from __future__ import annotations
+
+__all__ = ["LocalLink", "LocalList", "LocalLogSource", "LocalSlot", "LocalStore"]
+
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Any, TypeVar
+
+import msgspec
+import trio
+
+from ..exceptions import CeleryfoldError
+from ..fleet.link import PeerLink, PeerUnreachable
+from ..kernel.ids import Position, SlotId, Term
+from ..platform.listing import InstanceList, Listing, ListUnavailable
+from ..platform.slot import (
+    NO_POSITION,
+    AnswerLost,
+    BatchAnswer,
+    Connection,
+    Slot,
+    SlotStatus,
+    SlotUnreachable,
+    Statement,
+)
+from ..platform.store import Store, StoreEntry, StoreUnavailable
+from .faults import Faults
+from .listing import ListEngine
+from .network import LocalNetwork
+from .slot import LogBatch, SlotEngine, SlotSession
+from .store import StoreEngine
+
+T = TypeVar("T")
+
+CONTROL_TIMEOUT_S = 1.0
+CONNECT_TIMEOUT_S = 2.0
+LOG_TIMEOUT_S = 3.0
+HALF_OPEN_S = 4.0
+STORE_NAME = "store"
+LIST_NAME = "list"
+
+
+async def _serve_with_faults(faults: Faults, serve: Callable[[], Awaitable[T]]) -> T:
+    """Serve a call, or hang where a fault forbids the answer."""
+    await faults.hold()
+    if faults.cut:
+        await trio.sleep_forever()
+    answer = await serve()
+    if faults.cut or faults.take_dropped_answer():
+        await trio.sleep_forever()
+    return answer
+
+
+class LocalConnection(Connection):
+    """A counted connection to a slot engine."""
+
+    def __init__(self, network: LocalNetwork, me: str, session: SlotSession) -> None:
+        self._network = network
+        self._me = me
+        self._session = session
+        self._engine = session.engine
+        self._n_silences = self._engine.faults.n_silences
+        self._is_broken = False
+
+    async def _call(self, serve: Callable[[], Awaitable[T]]) -> T:
+        if self._is_broken:
+            raise AnswerLost("the connection is closed")
+        self._is_broken = True
+
+        async def serve_unless_silent() -> T:
+            if self._n_silences != self._engine.faults.n_silences:
+                await trio.sleep_forever()
+            return await _serve_with_faults(self._engine.faults, serve)
+
+        slot = self._engine.shape.slot_id
+        try:
+            answer = await self._network.call(
+                self._me, slot, "statement", serve_unless_silent
+            )
+        except CeleryfoldError as error:
+            self._is_broken = isinstance(error, AnswerLost)
+            raise
+        self._is_broken = False
+        return answer
+
+    async def execute(
+        self,
+        statements: Sequence[Statement],
+        *,
+        begin: bool = False,
+        commit: bool = False,
+    ) -> BatchAnswer:
+        """Run a batch."""
+        return await self._call(
+            lambda: self._session.execute(statements, begin, commit)
+        )
+
+    async def rollback(self) -> None:
+        """Undo the open transaction."""
+
+        async def serve() -> None:
+            self._session.rollback()
+
+        await self._call(serve)
+
+    async def close(self) -> None:
+        """Close at once; the slot hears of it later."""
+        self._is_broken = True
+
+        async def end() -> None:
+            slot = self._engine.shape.slot_id
+            cut = self._network.is_cut(self._me, slot) or self._engine.faults.cut
+            await trio.sleep(HALF_OPEN_S if cut else 0.001)
+            self._session.close()
+
+        self._network.spawn(end)
+
+
+class LocalSlot(Slot):
+    """A slot engine seen from an endpoint of the network."""
+
+    def __init__(self, network: LocalNetwork, me: str, engine: SlotEngine) -> None:
+        self.slot_id = engine.shape.slot_id
+        self._network = network
+        self._me = me
+        self._engine = engine
+
+    async def _call(
+        self, cause: str, serve: Callable[[], Awaitable[T]], timeout_s: float
+    ) -> T:
+        try:
+            with trio.fail_after(timeout_s):
+                return await self._network.call(
+                    self._me,
+                    self.slot_id,
+                    cause,
+                    lambda: _serve_with_faults(self._engine.faults, serve),
+                )
+        except trio.TooSlowError as error:
+            raise SlotUnreachable(f"{self.slot_id} does not answer") from error
+
+    async def connect(self) -> Connection:
+        """Open a counted connection."""
+        session = await self._call(
+            "connect", self._engine.open_session, CONNECT_TIMEOUT_S
+        )
+        return LocalConnection(self._network, self._me, session)
+
+    async def fetch_status(
+        self, wait_position: Position = NO_POSITION, wait_s: float = 0.0
+    ) -> SlotStatus:
+        """Return the slot's state."""
+        return await self._call(
+            "status",
+            lambda: self._engine.wait_status(wait_position, wait_s),
+            CONTROL_TIMEOUT_S + wait_s,
+        )
+
+    async def promote(self, term: Term) -> SlotStatus:
+        """Order the slot to lead a term."""
+
+        async def serve() -> SlotStatus:
+            return self._engine.promote(term)
+
+        return await self._call("promote", serve, CONTROL_TIMEOUT_S)
+
+    async def follow(self, primary: SlotId, address: str, term: Term) -> None:
+        """Order the slot to replicate."""
+
+        async def serve() -> None:
+            self._engine.follow(primary, address, term)
+
+        await self._call("follow", serve, CONTROL_TIMEOUT_S)
+
+
+class LocalLogSource:
+    """Read the log of another slot over the network."""
+
+    def __init__(self, network: LocalNetwork, me: SlotId, engine: SlotEngine) -> None:
+        self._network = network
+        self._me = me
+        self._engine = engine
+
+    async def fetch_log(
+        self, after: Position, after_term: Term, wait_s: float
+    ) -> LogBatch:
+        """Return the entries after a position."""
+        try:
+            with trio.fail_after(LOG_TIMEOUT_S):
+                return await self._network.call(
+                    self._me,
+                    self._engine.shape.slot_id,
+                    "replication",
+                    lambda: self._engine.fetch_log(after, after_term, wait_s),
+                )
+        except trio.TooSlowError as error:
+            raise SlotUnreachable("the primary gives no log") from error
+
+
+class LocalStore(Store):
+    """The store engine seen from an endpoint of the network."""
+
+    def __init__(self, network: LocalNetwork, me: str, engine: StoreEngine) -> None:
+        self._network = network
+        self._me = me
+        self._engine = engine
+
+    async def _call(
+        self, cause: str, serve: Callable[[], Awaitable[T]], timeout_s: float
+    ) -> T:
+        try:
+            with trio.fail_after(timeout_s):
+                return await self._network.call(
+                    self._me,
+                    STORE_NAME,
+                    cause,
+                    lambda: _serve_with_faults(self._engine.faults, serve),
+                )
+        except trio.TooSlowError as error:
+            raise StoreUnavailable("the store does not answer") from error
+
+    async def get(self, key: str) -> StoreEntry | None:
+        """Return an entry, or None."""
+
+        async def serve() -> StoreEntry | None:
+            return self._engine.get(key)
+
+        return await self._call("store.get", serve, CONTROL_TIMEOUT_S)
+
+    async def compare_and_swap(self, key: str, expected: int, value: bytes) -> int:
+        """Write a value where the key is at the expected revision."""
+
+        async def serve() -> int:
+            return self._engine.compare_and_swap(key, expected, value)
+
+        return await self._call("store.swap", serve, CONTROL_TIMEOUT_S)
+
+    async def watch(
+        self, prefix: str, after_revision: int, wait_s: float
+    ) -> list[StoreEntry]:
+        """Return entries below a prefix changed after a revision."""
+        return await self._call(
+            "store.watch",
+            lambda: self._engine.watch(prefix, after_revision, wait_s),
+            CONTROL_TIMEOUT_S + wait_s,
+        )
+
+
+class LocalList(InstanceList):
+    """The list engine seen from an endpoint of the network."""
+
+    def __init__(self, network: LocalNetwork, me: str, engine: ListEngine) -> None:
+        self._network = network
+        self._me = me
+        self._engine = engine
+
+    async def fetch(self) -> Listing:
+        """Return the list as it stands."""
+
+        async def serve() -> Listing:
+            return self._engine.read()
+
+        try:
+            with trio.fail_after(CONTROL_TIMEOUT_S):
+                return await self._network.call(
+                    self._me,
+                    LIST_NAME,
+                    "list",
+                    lambda: _serve_with_faults(self._engine.faults, serve),
+                )
+        except trio.TooSlowError as error:
+            raise ListUnavailable("the list does not answer") from error
+
+
+class LocalLink(PeerLink):
+    """Requests between instances of one process; an address is an endpoint's name.
+
+    :param links: the links of all live instances by address.
+    """
+
+    def __init__(
+        self, network: LocalNetwork, me: str, links: dict[str, LocalLink]
+    ) -> None:
+        super().__init__()
+        self._network = network
+        self._me = me
+        self._links = links
+        links[me] = self
+
+    async def request(
+        self, address: str, message: msgspec.Struct, timeout_s: float
+    ) -> Any:
+        """Send a request to a peer and return its reply."""
+
+        async def serve() -> Any:
+            peer = self._links.get(address)
+            if peer is None:
+                await trio.sleep_forever()
+            assert peer is not None
+            return await peer.handlers[type(message)](message)
+
+        n_bytes = len(msgspec.msgpack.encode(message)) + 16
+        cause = f"peer.{type(message).__name__}"
+        try:
+            with trio.fail_after(timeout_s):
+                return await self._network.call(
+                    self._me, address, cause, serve, (n_bytes, 200)
+                )
+        except trio.TooSlowError as error:
+            raise PeerUnreachable(f"{address} does not reply") from error
+
+    async def close(self) -> None:
+        """Be no longer reached."""
+        if self._links.get(self._me) is self:
+            del self._links[self._me]
