--- /dev/null
+++ b/celeryfold/standins/network.py
@@ -0,0 +1,157 @@
+"""A network inside one process: delays by place, cuts, and a count of bytes."""
+
+from __future__ import annotations
+
+__all__ = ["LocalNetwork", "NetworkShape"]
+
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Generic, TypeVar
+
+import trio
+
+from ..kernel.ids import PlaceId, RegionId
+
+T = TypeVar("T")
+
+SAME_PLACE_S = 0.0001
+BETWEEN_PLACES_S = 0.0005
+BETWEEN_REGIONS_S = 0.030
+REGION_LINK_BITS_A_SECOND = 15_000_000
+
+
+@dataclass(frozen=True)
+class NetworkShape:
+    """Hold one-way delays in seconds and the capacity between regions."""
+
+    regions: dict[PlaceId, RegionId]
+    same_place_s: float = SAME_PLACE_S
+    between_places_s: float = BETWEEN_PLACES_S
+    between_regions_s: float = BETWEEN_REGIONS_S
+    region_bits_a_second: int = REGION_LINK_BITS_A_SECOND
+    extra_s: dict[str, float] = field(default_factory=dict)
+
+
+class _Outcome(Generic[T]):
+    def __init__(self) -> None:
+        self.done = trio.Event()
+        self.value: T | None = None
+        self.error: Exception | None = None
+
+
+class LocalNetwork:
+    """Carry calls between named endpoints.
+
+    What a call does at its far end goes on when the caller has given up, as it would
+    on a real network.
+
+    :param nursery: runs the far ends of calls.
+    """
+
+    def __init__(self, shape: NetworkShape, nursery: trio.Nursery) -> None:
+        self.shape = shape
+        self.places: dict[str, PlaceId] = {}
+        self.region_bytes: Counter[str] = Counter()
+        self.n_calls: Counter[str] = Counter()
+        self._nursery = nursery
+        self._cut_endpoints: set[str] = set()
+        self._cut_pairs: set[frozenset[str]] = set()
+        self._cut_regions = False
+        self._healed = trio.Event()
+        self._link_free_at = 0.0
+
+    def add(self, name: str, place: PlaceId) -> None:
+        """Put an endpoint into a place."""
+        self.places[name] = place
+
+    def cut(self, name: str) -> None:
+        """Cut an endpoint off from everyone."""
+        self._cut_endpoints.add(name)
+
+    def cut_between(self, one: str, other: str) -> None:
+        """Cut two endpoints off from each other."""
+        self._cut_pairs.add(frozenset((one, other)))
+
+    def cut_regions(self) -> None:
+        """Cut all regions off from each other."""
+        self._cut_regions = True
+
+    def heal(self) -> None:
+        """Undo every cut; what was under way before stays lost."""
+        self._cut_endpoints.clear()
+        self._cut_pairs.clear()
+        self._cut_regions = False
+
+    def heal_endpoint(self, name: str) -> None:
+        """Undo the cut of one endpoint."""
+        self._cut_endpoints.discard(name)
+
+    def is_cut(self, one: str, other: str) -> bool:
+        """Tell whether nothing passes between two endpoints."""
+        if one in self._cut_endpoints or other in self._cut_endpoints:
+            return one != other
+        if frozenset((one, other)) in self._cut_pairs:
+            return True
+        return self._cut_regions and self.crosses_regions(one, other)
+
+    def crosses_regions(self, one: str, other: str) -> bool:
+        """Tell whether two endpoints are in different regions."""
+        regions = self.shape.regions
+        return regions[self.places[one]] != regions[self.places[other]]
+
+    def find_delay_s(self, one: str, other: str) -> float:
+        """Return the one-way delay between two endpoints."""
+        extra_s = self.shape.extra_s.get(one, 0.0) + self.shape.extra_s.get(other, 0.0)
+        if self.crosses_regions(one, other):
+            return self.shape.between_regions_s + extra_s
+        if self.places[one] != self.places[other]:
+            return self.shape.between_places_s + extra_s
+        return self.shape.same_place_s + extra_s
+
+    async def travel(self, one: str, other: str, cause: str, n_bytes: int) -> None:
+        """Take as long as a message takes; for ever where it gets lost."""
+        delay_s = self.find_delay_s(one, other)
+        if self.crosses_regions(one, other):
+            self.region_bytes[cause] += n_bytes
+            now = trio.current_time()
+            send_s = n_bytes * 8 / self.shape.region_bits_a_second
+            self._link_free_at = max(now, self._link_free_at) + send_s
+            delay_s += self._link_free_at - now
+        await trio.sleep(delay_s)
+        if self.is_cut(one, other):
+            await trio.sleep_forever()
+
+    async def call(
+        self,
+        one: str,
+        other: str,
+        cause: str,
+        serve: Callable[[], Awaitable[T]],
+        sizes: tuple[int, int] = (200, 200),
+    ) -> T:
+        """Run `serve` at the far end and return what it returns, or raise the same.
+
+        :param sizes: bytes of the request and of the answer.
+        """
+        outcome: _Outcome[T] = _Outcome()
+        self.n_calls[cause] += 1
+
+        async def run() -> None:
+            await self.travel(one, other, cause, sizes[0])
+            try:
+                outcome.value = await serve()
+            except Exception as error:
+                outcome.error = error
+            await self.travel(other, one, cause, sizes[1])
+            outcome.done.set()
+
+        self._nursery.start_soon(run)
+        await outcome.done.wait()
+        if outcome.error is not None:
+            raise outcome.error
+        return outcome.value  # type: ignore[return-value]
+
+    def spawn(self, task: Callable[[], Awaitable[None]]) -> None:
+        """Run a task of the network's own."""
+        self._nursery.start_soon(task)
--- /dev/null
+++ b/celeryfold/standins/servers.py
@@ -0,0 +1,269 @@
+"""HTTP doors of the stand-ins, so that each also runs as a process."""
+
+from __future__ import annotations
+
+__all__ = ["HttpLogSource", "serve_list", "serve_slot", "serve_store"]
+
+from abc import abstractmethod
+from urllib.parse import parse_qs
+
+import msgspec
+import trio
+
+from ..exceptions import CeleryfoldError, RequestFailure
+from ..kernel.errors import ErrorKind
+from ..kernel.ids import Position, SlotId, Term
+from ..platform.listing import Listing
+from ..platform.requests import (
+    ExecuteBody,
+    FollowBody,
+    PromoteBody,
+    Refusal,
+    RefusalKind,
+    SwapBody,
+    SwapResult,
+    WatchResult,
+)
+from ..platform.slot import (
+    AnswerLost,
+    ConnectionRefused,
+    NotPrimary,
+    OrderRefused,
+    SlotUnreachable,
+    StatementRejected,
+)
+from ..platform.store import StoreConflict
+from ..wire.client import HttpClient, Unanswered, Unreachable
+from ..wire.messages import HttpRequest, HttpResponse
+from ..wire.server import ConnectionHandler, HttpServer
+from .faults import Faults, FaultsBody
+from .listing import ListEngine
+from .slot import LogBatch, SlotEngine, SlotSession
+from .store import StoreEngine
+
+HTTP_REFUSED = 409
+LOG_TIMEOUT_S = 3.0
+
+
+class StandinHandler(ConnectionHandler):
+    """Answer one connection of a stand-in, showing the faults in force."""
+
+    def __init__(self, faults: Faults) -> None:
+        self._faults = faults
+        self._n_silences = faults.n_silences
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one request unless a fault forbids it."""
+        if request.path == "/faults":
+            self.set_faults(msgspec.json.decode(request.body, type=FaultsBody))
+            return HttpResponse(200)
+        await self._show_faults()
+        response = await self.answer(request)
+        await self._show_faults()
+        if self._faults.take_dropped_answer():
+            raise trio.BrokenResourceError("answer dropped")
+        return response
+
+    async def _show_faults(self) -> None:
+        if self._n_silences != self._faults.n_silences:
+            await trio.sleep_forever()
+        await self._faults.hold()
+        if self._faults.cut:
+            raise trio.BrokenResourceError("cut off")
+
+    def set_faults(self, body: FaultsBody) -> None:
+        """Take over faults."""
+        self._faults.apply(body)
+
+    @abstractmethod
+    async def answer(self, request: HttpRequest) -> HttpResponse:
+        """Return the answer to one request."""
+
+
+_REFUSALS: list[tuple[type[CeleryfoldError], RefusalKind]] = [
+    (ConnectionRefused, RefusalKind.LIMIT),
+    (NotPrimary, RefusalKind.NOT_PRIMARY),
+    (StatementRejected, RefusalKind.STATEMENT),
+    (OrderRefused, RefusalKind.ORDER),
+]
+
+
+class SlotHandler(StandinHandler):
+    """Answer one connection to a slot."""
+
+    def __init__(self, engine: SlotEngine) -> None:
+        super().__init__(engine.faults)
+        self._engine = engine
+        self._session: SlotSession | None = None
+
+    def set_faults(self, body: FaultsBody) -> None:
+        """Take over faults, lag and leaving."""
+        super().set_faults(body)
+        if body.lag_ms is not None:
+            self._engine.lag_s = body.lag_ms / 1000.0
+        if body.leaving is not None:
+            self._engine.leaving = body.leaving
+
+    async def answer(self, request: HttpRequest) -> HttpResponse:
+        """Answer one request to the slot."""
+        try:
+            return await self._answer(request)
+        except (AnswerLost, SlotUnreachable) as error:
+            raise trio.BrokenResourceError(str(error)) from error
+        except CeleryfoldError as error:
+            for refused, kind in _REFUSALS:
+                if isinstance(error, refused):
+                    refusal = Refusal(kind, str(error))
+                    return HttpResponse.from_object(refusal, HTTP_REFUSED)
+            raise
+
+    async def _answer(self, request: HttpRequest) -> HttpResponse:
+        engine = self._engine
+        if request.path == "/execute":
+            return await self._execute(request.body)
+        if request.path == "/status":
+            query = parse_qs(request.query)
+            position = Position(int(query["position"][0]))
+            wait_s = int(query["wait_ms"][0]) / 1000.0
+            return HttpResponse.from_object(await engine.wait_status(position, wait_s))
+        if request.path == "/connect":
+            self._session = self._session or await engine.open_session()
+            return HttpResponse(200)
+        if request.path == "/rollback":
+            if self._session is not None:
+                self._session.rollback()
+            return HttpResponse(200)
+        if request.path == "/promote":
+            order = msgspec.json.decode(request.body, type=PromoteBody)
+            return HttpResponse.from_object(engine.promote(order.term))
+        if request.path == "/follow":
+            follow = msgspec.json.decode(request.body, type=FollowBody)
+            engine.follow(follow.primary, follow.address, follow.term)
+            return HttpResponse(200)
+        if request.path == "/log":
+            query = parse_qs(request.query)
+            batch = await engine.fetch_log(
+                Position(int(query["after"][0])),
+                Term(int(query["term"][0])),
+                int(query["wait_ms"][0]) / 1000.0,
+            )
+            return HttpResponse.from_object(batch)
+        raise RequestFailure(ErrorKind.NOT_FOUND, f"no path {request.path}")
+
+    async def _execute(self, body: bytes) -> HttpResponse:
+        if self._session is None:
+            raise StatementRejected("connect first")
+        batch = msgspec.json.decode(body, type=ExecuteBody)
+        answer = await self._session.execute(
+            batch.statements, batch.begin, batch.commit
+        )
+        return HttpResponse.from_object(answer)
+
+    async def close(self) -> None:
+        """Give the connection back to the slot."""
+        if self._session is not None:
+            self._session.close()
+
+
+class StoreHandler(StandinHandler):
+    """Answer one connection to the store."""
+
+    def __init__(self, engine: StoreEngine) -> None:
+        super().__init__(engine.faults)
+        self._engine = engine
+
+    async def answer(self, request: HttpRequest) -> HttpResponse:
+        """Answer one call."""
+        query = parse_qs(request.query)
+        if request.path == "/entry":
+            return HttpResponse.from_object(self._engine.get(query["key"][0]))
+        if request.path == "/swap":
+            return HttpResponse.from_object(self._swap(request.body))
+        if request.path == "/watch":
+            entries = await self._engine.watch(
+                query["prefix"][0],
+                int(query["after"][0]),
+                int(query["wait_ms"][0]) / 1000.0,
+            )
+            return HttpResponse.from_object(WatchResult(entries))
+        if request.path == "/calls":
+            return HttpResponse.from_object(dict(self._engine.calls))
+        raise RequestFailure(ErrorKind.NOT_FOUND, f"no path {request.path}")
+
+    def _swap(self, body: bytes) -> SwapResult:
+        swap = msgspec.json.decode(body, type=SwapBody)
+        try:
+            revision = self._engine.compare_and_swap(
+                swap.key, swap.expected, swap.value
+            )
+        except StoreConflict:
+            return SwapResult(None)
+        return SwapResult(revision)
+
+
+class ListHandler(StandinHandler):
+    """Answer one connection to the list."""
+
+    def __init__(self, engine: ListEngine) -> None:
+        super().__init__(engine.faults)
+        self._engine = engine
+
+    async def answer(self, request: HttpRequest) -> HttpResponse:
+        """Return the list, or replace it."""
+        if request.method == "POST":
+            self._engine.set(msgspec.json.decode(request.body, type=Listing))
+            return HttpResponse(200)
+        return HttpResponse.from_object(self._engine.read())
+
+
+class HttpLogSource:
+    """Read the log of another slot over HTTP."""
+
+    def __init__(self, slot_id: SlotId, address: str) -> None:
+        self._slot_id = slot_id
+        self._client = HttpClient(address)
+
+    async def fetch_log(
+        self, after: Position, after_term: Term, wait_s: float
+    ) -> LogBatch:
+        """Return the entries after a position."""
+        path = f"/log?after={after}&term={after_term}&wait_ms={int(wait_s * 1000)}"
+        try:
+            with trio.fail_after(LOG_TIMEOUT_S):
+                response = await self._client.request("GET", path)
+            return msgspec.json.decode(response.body, type=LogBatch)
+        except (
+            Unanswered,
+            Unreachable,
+            trio.TooSlowError,
+            msgspec.DecodeError,
+        ) as error:
+            raise SlotUnreachable(f"{self._slot_id} gives no log") from error
+
+
+async def serve_slot(
+    engine: SlotEngine, host: str, port: int, nursery: trio.Nursery
+) -> HttpServer:
+    """Serve a slot until the nursery ends."""
+
+    nursery.start_soon(engine.run)
+    return await _serve(HttpServer(host, port, lambda: SlotHandler(engine)), nursery)
+
+
+async def serve_store(
+    engine: StoreEngine, host: str, port: int, nursery: trio.Nursery
+) -> HttpServer:
+    """Serve the store until the nursery ends."""
+    return await _serve(HttpServer(host, port, lambda: StoreHandler(engine)), nursery)
+
+
+async def serve_list(
+    engine: ListEngine, host: str, port: int, nursery: trio.Nursery
+) -> HttpServer:
+    """Serve the list until the nursery ends."""
+    return await _serve(HttpServer(host, port, lambda: ListHandler(engine)), nursery)
+
+
+async def _serve(server: HttpServer, nursery: trio.Nursery) -> HttpServer:
+    await server.start(nursery)
+    return server
--- /dev/null
+++ b/celeryfold/standins/store.py
@@ -0,0 +1,78 @@
+"""The key-value service in memory: compare-and-swap, leases, watches, faults."""
+
+from __future__ import annotations
+
+__all__ = ["StoreEngine"]
+
+from collections import Counter
+
+import trio
+
+from ..platform.store import StoreConflict, StoreEntry
+from .faults import Faults
+
+
+class StoreEngine:
+    """Hold keys and count the calls made."""
+
+    def __init__(self) -> None:
+        self.faults = Faults()
+        self.calls: Counter[str] = Counter()
+        self._entries: dict[str, StoreEntry] = {}
+        self._revision = 0
+        self._changed = trio.Event()
+        self._leases: dict[str, float] = {}
+
+    def get(self, key: str) -> StoreEntry | None:
+        """Return an entry, or None."""
+        self.calls["get"] += 1
+        self._expire()
+        return self._entries.get(key)
+
+    def compare_and_swap(
+        self, key: str, expected: int, value: bytes, lease_s: float | None = None
+    ) -> int:
+        """Write a value where the key is at the expected revision.
+
+        :param lease_s: the key goes away after this many seconds unless rewritten.
+        :raises StoreConflict: where it is not.
+        """
+        self.calls["swap"] += 1
+        self._expire()
+        current = self._entries.get(key)
+        if (current.revision if current else 0) != expected:
+            raise StoreConflict(f"{key} is not at revision {expected}")
+        self._revision += 1
+        self._entries[key] = StoreEntry(key, self._revision, value)
+        if lease_s is not None:
+            self._leases[key] = trio.current_time() + lease_s
+        self._changed.set()
+        self._changed = trio.Event()
+        return self._revision
+
+    async def watch(
+        self, prefix: str, after_revision: int, wait_s: float
+    ) -> list[StoreEntry]:
+        """Return entries below a prefix changed after a revision."""
+        self.calls["watch"] += 1
+        found = self._find(prefix, after_revision)
+        with trio.move_on_after(wait_s):
+            while not found:
+                await self._changed.wait()
+                found = self._find(prefix, after_revision)
+        return found
+
+    def _find(self, prefix: str, after_revision: int) -> list[StoreEntry]:
+        self._expire()
+        return [
+            entry
+            for key, entry in sorted(self._entries.items())
+            if key.startswith(prefix) and entry.revision > after_revision
+        ]
+
+    def _expire(self) -> None:
+        now = trio.current_time()
+        for key, deadline in list(self._leases.items()):
+            if deadline <= now:
+                del self._leases[key]
+                self._entries.pop(key, None)
--- /dev/null
+++ b/celeryfold/standins/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the modules beside this folder."""
--- /dev/null
+++ b/celeryfold/tests/test_processes.py
@@ -0,0 +1,83 @@
+"""The whole path over separate processes."""
+
+from __future__ import annotations
+
+import signal
+from pathlib import Path
+
+import msgspec
+import pytest
+import trio
+
+from celeryfold.bench.callers import HttpDoor
+from celeryfold.bench.processes import SERVICE, WORKLOAD, ProcessSite
+from celeryfold.entry.requests import Mode, StatementRequest, StatementResponse
+
+
+@pytest.fixture
+def site(tmp_path: Path):
+    """Give a site that is closed after the test."""
+    site = ProcessSite(tmp_path)
+    yield site
+    site.close()
+
+
+def make_write(marker: str, owner: str = "permit-1") -> StatementRequest:
+    """Return a keyed write of a marked row."""
+    return StatementRequest(
+        WORKLOAD.insert,
+        (marker, owner, "2026-12-04"),
+        key=owner,
+        mode=Mode.WRITE,
+        idempotency_key=f"key-{marker}",
+    )
+
+
+def make_read(session: str = "", owner: str = "permit-1") -> StatementRequest:
+    """Return a read of an owner's rows."""
+    return StatementRequest(WORKLOAD.lookup, (owner,), key=owner, session=session)
+
+
+def test_renewal_through_one_instance_is_read_through_another(site):
+    async def run() -> None:
+        await site.start()
+        first, second = (HttpDoor(site.callers[name]) for name in ("i1", "i2"))
+        written = await first.send(SERVICE, make_write("m1"))
+        assert isinstance(written, StatementResponse), written
+        read = await second.send(SERVICE, make_read(written.session))
+        assert isinstance(read, StatementResponse), read
+        assert read.rows == (("m1",),)
+
+    trio.run(run)
+
+
+def test_graceful_shutdown_cuts_no_request_in_progress(site):
+    answers: list[object] = []
+
+    async def write_on(door: HttpDoor, number: int, stopped: trio.Event) -> None:
+        n_written = 0
+        while not stopped.is_set():
+            n_written += 1
+            marker = f"m{number}-{n_written}"
+            answers.append(await door.send(SERVICE, make_write(marker)))
+
+    async def run() -> None:
+        await site.start()
+        stopped = trio.Event()
+        async with trio.open_nursery() as nursery:
+            for number in range(8):
+                door = HttpDoor(site.callers["i1"])
+                nursery.start_soon(write_on, door, number, stopped)
+            while len(answers) < 50:
+                await trio.sleep(0.01)
+            site.signal("i1", signal.SIGTERM)
+            await trio.to_thread.run_sync(site.processes["i1"].wait)
+            stopped.set()
+
+    trio.run(run)
+    assert site.processes["i1"].returncode == 0
+    cut = [answer for answer in answers if answer is None]
+    assert cut == []
+    served = [item for item in answers if isinstance(item, StatementResponse)]
+    assert len(served) >= 50
+    assert msgspec.json.encode(served[0])
--- /dev/null
+++ b/celeryfold/wire/__init__.py
@@ -0,0 +1,9 @@
+"""HTTP/1.1 with JSON bodies, parsed and written by the h11 library."""
+
+from __future__ import annotations
+
+__all__ = ["HttpClient", "HttpRequest", "HttpResponse", "HttpServer"]
+
+from .client import HttpClient
+from .messages import HttpRequest, HttpResponse
+from .server import HttpServer
--- /dev/null
+++ b/celeryfold/wire/client.py
@@ -0,0 +1,161 @@
+"""A client for one HTTP/1.1 connection and a small keep-alive pool of them."""
+
+from __future__ import annotations
+
+__all__ = ["HttpChannel", "HttpClient", "Unanswered", "Unreachable", "split_address"]
+
+import ssl
+
+import h11
+import trio
+
+from ..exceptions import CeleryfoldError
+from .messages import HttpResponse
+
+READ_BYTES = 65_536
+CONNECT_TIMEOUT_S = 2.0
+N_IDLE_CHANNELS_KEPT = 8
+IDLE_CHANNEL_KEPT_S = 20.0
+
+
+class Unreachable(CeleryfoldError):
+    """No connection could be opened: nothing was sent."""
+
+
+class Unanswered(CeleryfoldError):
+    """A request may have been received, but no whole answer came."""
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of an address such as ``127.0.0.1:8080``."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+class HttpChannel:
+    """Hold one connection; after a failure it is closed and never used again.
+
+    :param address: IP number and port of the server.
+    """
+
+    def __init__(self, address: str, tls: ssl.SSLContext | None = None) -> None:
+        self.address = address
+        self.usable = False
+        self.idle_since = 0.0
+        self._tls = tls
+        self._stream: trio.abc.Stream | None = None
+        self._parser = h11.Connection(h11.CLIENT)
+
+    async def start(self) -> None:
+        """Open the connection.
+
+        :raises Unreachable: where it cannot be opened in time.
+        """
+        host, port = split_address(self.address)
+        try:
+            with trio.fail_after(CONNECT_TIMEOUT_S):
+                stream: trio.abc.Stream = await trio.open_tcp_stream(host, port)
+                if self._tls is not None:
+                    stream = trio.SSLStream(stream, self._tls, server_hostname=host)
+                    await stream.do_handshake()
+        except (OSError, trio.TooSlowError, trio.BrokenResourceError) as error:
+            raise Unreachable(f"{self.address} cannot be reached") from error
+        self._stream = stream
+        self.usable = True
+
+    async def request(self, method: str, path: str, body: bytes = b"") -> HttpResponse:
+        """Send a request and return its whole answer.
+
+        :raises Unanswered: where the connection ends or breaks before that.
+        """
+        if self._stream is None or not self.usable:
+            raise Unreachable(f"the connection to {self.address} is closed")
+        self.usable = False
+        try:
+            await self._stream.send_all(self._encode(method, path, body))
+            response = await self._read_response(self._stream)
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise Unanswered(f"{self.address} broke the connection") from error
+        except h11.RemoteProtocolError as error:
+            raise Unanswered(f"{self.address} ended its answer early") from error
+        if self._parser.our_state is h11.DONE and self._parser.their_state is h11.DONE:
+            self._parser.start_next_cycle()
+            self.usable = True
+        return response
+
+    def _encode(self, method: str, path: str, body: bytes) -> bytes:
+        headers = [("Host", self.address), ("Content-Length", str(len(body)))]
+        head = h11.Request(method=method, target=path, headers=headers)
+        parts = [self._parser.send(head) or b""]
+        if body:
+            parts.append(self._parser.send(h11.Data(data=body)) or b"")
+        parts.append(self._parser.send(h11.EndOfMessage()) or b"")
+        return b"".join(parts)
+
+    async def _read_response(self, stream: trio.abc.Stream) -> HttpResponse:
+        status = 0
+        body = bytearray()
+        while True:
+            event = self._parser.next_event()
+            if event is h11.NEED_DATA:
+                data = await stream.receive_some(READ_BYTES)
+                self._parser.receive_data(bytes(data))
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                body += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                return HttpResponse(status, bytes(body))
+            elif event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+                raise Unanswered(f"{self.address} closed the connection")
+
+    async def close(self) -> None:
+        """Close the connection at once."""
+        self.usable = False
+        if self._stream is not None:
+            await trio.aclose_forcefully(self._stream)
+            self._stream = None
+
+
+class HttpClient:
+    """Send requests to one server over a few kept connections."""
+
+    def __init__(self, address: str, tls: ssl.SSLContext | None = None) -> None:
+        self.address = address
+        self._tls = tls
+        self._idle: list[HttpChannel] = []
+
+    async def request(self, method: str, path: str, body: bytes = b"") -> HttpResponse:
+        """Send one request on an idle connection or a new one.
+
+        :raises Unreachable: where nothing was sent.
+        :raises Unanswered: where the outcome is not known.
+        """
+        channel = await self._take()
+        try:
+            response = await channel.request(method, path, body)
+        except BaseException:
+            with trio.CancelScope(shield=True):
+                await channel.close()
+            raise
+        if channel.usable and len(self._idle) < N_IDLE_CHANNELS_KEPT:
+            channel.idle_since = trio.current_time()
+            self._idle.append(channel)
+        else:
+            await channel.close()
+        return response
+
+    async def _take(self) -> HttpChannel:
+        while self._idle:
+            channel = self._idle.pop()
+            if trio.current_time() - channel.idle_since < IDLE_CHANNEL_KEPT_S:
+                return channel
+            await channel.close()
+        channel = HttpChannel(self.address, self._tls)
+        await channel.start()
+        return channel
+
+    async def close(self) -> None:
+        """Close all idle connections."""
+        while self._idle:
+            await self._idle.pop().close()
--- /dev/null
+++ b/celeryfold/wire/messages.py
@@ -0,0 +1,41 @@
+"""Typed HTTP messages and the limits that hold for them."""
+
+from __future__ import annotations
+
+__all__ = ["MAX_BODY_BYTES", "MAX_HEADER_BYTES", "HttpRequest", "HttpResponse"]
+
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+MAX_BODY_BYTES = 1_500_000
+MAX_HEADER_BYTES = 16_384
+
+
+@dataclass(frozen=True)
+class HttpRequest:
+    """Hold one request as it came from a client."""
+
+    method: str
+    path: str
+    body: bytes = b""
+    query: str = ""
+
+
+@dataclass(frozen=True)
+class HttpResponse:
+    """Hold one response.
+
+    :param close: whether the connection ends after this response.
+    """
+
+    status: int
+    body: bytes = b"{}"
+    headers: list[tuple[str, str]] = field(default_factory=list)
+    close: bool = False
+
+    @classmethod
+    def from_object(cls, content: Any, status: int = 200) -> HttpResponse:
+        """Return a response with a JSON body."""
+        return cls(status, msgspec.json.encode(content))
--- /dev/null
+++ b/celeryfold/wire/server.py
@@ -0,0 +1,242 @@
+"""Serve HTTP/1.1 connections, one trio task each."""
+
+from __future__ import annotations
+
+__all__ = ["ConnectionHandler", "HttpServer"]
+
+import logging
+import ssl
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from functools import partial
+
+import h11
+import trio
+
+from ..exceptions import BadInput, RequestFailure
+from ..kernel.errors import ErrorKind
+from .answers import make_failure_response
+from .messages import MAX_BODY_BYTES, MAX_HEADER_BYTES, HttpRequest, HttpResponse
+
+log = logging.getLogger(__name__)
+
+READ_BYTES = 65_536
+IDLE_TIMEOUT_S = 300.0
+REQUEST_READ_TIMEOUT_S = 10.0
+WRITE_TIMEOUT_S = 10.0
+LISTEN_BACKLOG = 1024
+
+
+class ConnectionHandler(ABC):
+    """Answer the requests of one connection, in order."""
+
+    @abstractmethod
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Return the answer to one request."""
+
+    async def close(self) -> None:
+        """Release what the connection held."""
+
+
+class HttpServer:
+    """Listen on one address and give each connection a task and a handler.
+
+    :param make_handler: called once for each connection.
+    :param tls: the TLS context, or None for plain TCP.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        make_handler: Callable[[], ConnectionHandler],
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self.host = host
+        self.port = port
+        self._make_handler = make_handler
+        self._tls = tls
+        self._listeners: list[trio.SocketListener] = []
+        self._accepting = trio.CancelScope()
+        self._n_busy = 0
+        self._idle: set[trio.CancelScope] = set()
+        self.stopping = False
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Open the port and serve until closed.
+
+        :raises BadInput: where the port cannot be opened.
+        """
+        try:
+            self._listeners = await trio.open_tcp_listeners(
+                self.port, host=self.host, backlog=LISTEN_BACKLOG
+            )
+        except OSError as error:
+            text = f"cannot listen on {self.host}:{self.port}: {error.strerror}"
+            raise BadInput(f"{text}; free the port or set another") from error
+        self.port = self._listeners[0].socket.getsockname()[1]
+        nursery.start_soon(self._accept, nursery)
+
+    async def _accept(self, nursery: trio.Nursery) -> None:
+        with self._accepting:
+            serve = partial(
+                trio.serve_listeners,
+                self._serve,
+                self._listeners,
+                handler_nursery=nursery,
+            )
+            await serve()
+
+    async def stop_accepting(self) -> None:
+        """Take no new connections; end idle ones, let busy ones finish a request."""
+        self.stopping = True
+        self._accepting.cancel()
+        for listener in self._listeners:
+            await listener.aclose()
+        for scope in list(self._idle):
+            scope.cancel()
+
+    async def wait_idle(self) -> None:
+        """Return when no request is in progress."""
+        while self._n_busy:
+            await trio.sleep(0.01)
+
+    async def close(self) -> None:
+        """Stop accepting and drop what is left."""
+        await self.stop_accepting()
+
+    async def _serve(self, stream: trio.abc.Stream) -> None:
+        if self._tls is not None:
+            stream = trio.SSLStream(stream, self._tls, server_side=True)
+        handler = self._make_handler()
+        try:
+            await self._serve_requests(stream, handler)
+        except (trio.BrokenResourceError, trio.ClosedResourceError, ssl.SSLError):
+            pass
+        finally:
+            with trio.CancelScope(shield=True):
+                await handler.close()
+            await trio.aclose_forcefully(stream)
+
+    async def _serve_requests(
+        self, stream: trio.abc.Stream, handler: ConnectionHandler
+    ) -> None:
+        parser = h11.Connection(h11.SERVER, MAX_HEADER_BYTES)
+        while not self.stopping:
+            try:
+                request = await self._read_request(stream, parser)
+            except RequestFailure as failure:
+                await _send(stream, parser, make_failure_response(failure))
+                return
+            if request is None:
+                return
+            self._n_busy += 1
+            try:
+                response = await self._answer(handler, request)
+                await _send(stream, parser, response, self.stopping)
+            finally:
+                self._n_busy -= 1
+            if response.close or parser.our_state is h11.MUST_CLOSE:
+                return
+            parser.start_next_cycle()
+
+    async def _answer(
+        self, handler: ConnectionHandler, request: HttpRequest
+    ) -> HttpResponse:
+        try:
+            return await handler.handle(request)
+        except RequestFailure as failure:
+            return make_failure_response(failure)
+        except trio.BrokenResourceError:
+            raise
+        except Exception:
+            log.exception("request failed", extra={"path": request.path})
+            text = "internal error, see the log"
+            return make_failure_response(RequestFailure(ErrorKind.INTERNAL, text))
+
+    async def _read_request(
+        self, stream: trio.abc.Stream, parser: h11.Connection
+    ) -> HttpRequest | None:
+        scope = trio.CancelScope()
+        self._idle.add(scope)
+        head: h11.Request | None = None
+        body = bytearray()
+        with scope:
+            if not self.stopping:
+                scope.deadline = trio.current_time() + IDLE_TIMEOUT_S
+            else:
+                scope.cancel()
+            while True:
+                event = _next_event(parser)
+                if event is h11.NEED_DATA:
+                    data = await stream.receive_some(READ_BYTES)
+                    if scope in self._idle:
+                        self._idle.discard(scope)
+                        scope.deadline = trio.current_time() + REQUEST_READ_TIMEOUT_S
+                    _feed(parser, bytes(data))
+                elif isinstance(event, h11.Request):
+                    head = event
+                    self._idle.discard(scope)
+                    scope.deadline = trio.current_time() + REQUEST_READ_TIMEOUT_S
+                elif isinstance(event, h11.Data):
+                    body += event.data
+                    if len(body) > MAX_BODY_BYTES:
+                        text = f"the body is over {MAX_BODY_BYTES} bytes; send less"
+                        raise RequestFailure(ErrorKind.BODY_TOO_LARGE, text)
+                elif isinstance(event, h11.EndOfMessage):
+                    break
+                else:
+                    return None
+        self._idle.discard(scope)
+        if scope.cancelled_caught or head is None:
+            return None
+        path, _, query = head.target.decode("ascii", "replace").partition("?")
+        return HttpRequest(head.method.decode("ascii"), path, bytes(body), query)
+
+
+def _feed(parser: h11.Connection, data: bytes) -> None:
+    try:
+        parser.receive_data(data)
+    except h11.RemoteProtocolError as error:
+        raise _describe_protocol_error(error) from error
+
+
+def _next_event(parser: h11.Connection) -> object:
+    try:
+        return parser.next_event()
+    except h11.RemoteProtocolError as error:
+        raise _describe_protocol_error(error) from error
+
+
+def _describe_protocol_error(error: h11.RemoteProtocolError) -> RequestFailure:
+    if error.error_status_hint == 431:
+        text = f"the headers are over {MAX_HEADER_BYTES} bytes; send less"
+        return RequestFailure(ErrorKind.HEADERS_TOO_LARGE, text)
+    return RequestFailure(ErrorKind.BAD_REQUEST, f"not HTTP/1.1: {error}")
+
+
+async def _send(
+    stream: trio.abc.Stream,
+    parser: h11.Connection,
+    response: HttpResponse,
+    close: bool = False,
+) -> None:
+    headers = [
+        ("Content-Type", "application/json"),
+        ("Content-Length", str(len(response.body))),
+        *response.headers,
+    ]
+    if close or response.close:
+        headers.append(("Connection", "close"))
+    if parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+        return
+    head = h11.Response(status_code=response.status, headers=headers)
+    parts = [
+        parser.send(head) or b"",
+        parser.send(h11.Data(data=response.body)) or b"",
+        parser.send(h11.EndOfMessage()) or b"",
+    ]
+    with trio.move_on_after(WRITE_TIMEOUT_S) as scope:
+        await stream.send_all(b"".join(parts))
+    if scope.cancelled_caught:
+        raise trio.BrokenResourceError("the client does not read its answer")
