Prove the promises under random faults and explore the group record exhaustively

Cause: the path stood without proof. The shipped decision functions are now explored over every order of events (celeryfold/bench/exploration.py), and a whole world on a mock clock runs callers under random faults, with a directed scenario and a mutation for each promise.

Found and mended, each with its test: - The lowest position among the confirming slots is no bound of what was acknowledged once a home holds an old record: a slot dropped since lacks later writes.

--- /dev/null
+++ b/celeryfold/bench/crowd.py
@@ -0,0 +1,164 @@
+"""Callers at work on a world, with faults on the way and a verdict at the end."""
+
+from __future__ import annotations
+
+__all__ = ["Crowd", "CrowdShape", "make_small_world"]
+
+import random
+from dataclasses import dataclass
+
+import trio
+
+from ..config.objects import Catalog, ObjectSet
+from ..home.outcomes import OUTCOME_TABLE
+from ..kernel.ids import GroupId, PlaceId, ServiceId, SlotId
+from ..standins.slot import SlotShape
+from .callers import Caller
+from .deployments import Workload
+from .history import History, Verdict
+from .world import World, WorldShape
+
+SERVICE = ServiceId("records")
+SMALL_PLACES = tuple(PlaceId(name) for name in ("a1", "a2", "a2", "b1"))
+SMALL_WORKLOAD = Workload(
+    SERVICE,
+    "entries",
+    "owner",
+    "INSERT INTO entries (marker, owner, day) VALUES (?, ?, ?)",
+    "SELECT marker FROM entries WHERE owner = ?",
+    "SELECT marker, count(*) FROM entries GROUP BY marker",
+    "SELECT count(*) FROM entries /* tally */",
+)
+SMALL_SCHEMA = (
+    "CREATE TABLE entries (marker TEXT, owner TEXT, day TEXT)",
+    OUTCOME_TABLE,
+)
+SETTLE_TIMEOUT_S = 60.0
+SETTLE_STEP_S = 0.5
+
+
+def make_small_world(seed: int = 1, lag_s: float = 0.005) -> WorldShape:
+    """Return a world of 4 instances in 2 regions before 2 groups of 3 and 2 slots."""
+    objects = ObjectSet.model_validate(
+        {
+            "places": [
+                {"name": "a1", "region": "a"},
+                {"name": "a2", "region": "a"},
+                {"name": "b1", "region": "b"},
+            ],
+            "read_rules": [{"name": "recent", "accepted_age_ms": 5000}],
+            "upstream_groups": [
+                _make_group("g1", ["a1", "a2", "b1"], "region"),
+                _make_group("g2", ["b1", "a1"], "all"),
+            ],
+            "services": [
+                {
+                    "name": SERVICE,
+                    "upstream_groups": ["g1", "g2"],
+                    "read_rule": "recent",
+                }
+            ],
+        }
+    )
+    slots = [slot.name for group in objects.upstream_groups for slot in group.slots]
+    shapes = {name: SlotShape(name, SMALL_SCHEMA, lag_s=lag_s) for name in slots}
+    return WorldShape(objects, shapes, SMALL_PLACES, PlaceId("a1"), seed=seed)
+
+
+def _make_group(name: str, places: list[str], confirm: str) -> dict[str, object]:
+    slots = [
+        {"name": f"{name}-{letter}", "place": place, "address": "127.0.0.1:1"}
+        for letter, place in zip("abc", places, strict=False)
+    ]
+    return {"name": name, "confirm": confirm, "slots": slots}
+
+
+@dataclass(frozen=True)
+class CrowdShape:
+    """Describe what callers do.
+
+    :param pause_s: seconds between two requests of a caller.
+    :param ages_s: accepted ages, drawn at random.
+    """
+
+    service: ServiceId = SERVICE
+    workload: Workload = SMALL_WORKLOAD
+    n_callers: int = 6
+    n_owners: int = 6
+    seconds: float = 10.0
+    pause_s: float = 0.05
+    write_share: float = 0.3
+    ages_s: tuple[float, ...] = (0.2, 1.0, 5.0)
+
+
+class Crowd:
+    """Run callers against a world and judge what they saw."""
+
+    def __init__(self, world: World, shape: CrowdShape | None = None) -> None:
+        self.world = world
+        self.shape = shape or CrowdShape()
+        self.history = History()
+        self.catalog = Catalog(world.shape.objects)
+        self._service = self.catalog.services[self.shape.service]
+
+    def find_group(self, owner: str) -> GroupId:
+        """Return the group that holds an owner's data."""
+        return self.catalog.find_group(self._service, owner).name
+
+    def is_primary(self, slot: str) -> bool:
+        """Tell whether a slot is its group's primary now."""
+        group = self.catalog.group_of_slot[SlotId(slot)]
+        return self.world.find_record(group).primary == slot
+
+    def make_caller(self, name: str, rng: random.Random) -> Caller:
+        """Return a caller that may use any instance."""
+        return Caller(
+            name,
+            self.world.make_doors(),
+            self.shape.workload,
+            self.history,
+            rng,
+            self.find_group,
+            self.is_primary,
+        )
+
+    async def run(self) -> None:
+        """Let all callers work for the shape's length of time."""
+        ends_at = trio.current_time() + self.shape.seconds
+        async with trio.open_nursery() as nursery:
+            for number in range(self.shape.n_callers):
+                rng = random.Random(f"{self.world.shape.seed}/{number}")
+                caller = self.make_caller(f"c{number}", rng)
+                nursery.start_soon(self._work, caller, rng, ends_at)
+
+    async def _work(self, caller: Caller, rng: random.Random, ends_at: float) -> None:
+        while trio.current_time() < ends_at:
+            owner = f"owner-{rng.randrange(self.shape.n_owners)}"
+            if rng.random() < self.shape.write_share:
+                await caller.write(owner)
+            else:
+                await caller.read(owner, rng.choice(self.shape.ages_s))
+            await trio.sleep(self.shape.pause_s * rng.uniform(0.5, 1.5))
+
+    async def settle(self) -> None:
+        """Wait until every group has a primary that can be reached again.
+
+        :raises trio.TooSlowError: where one does not come back.
+        """
+        with trio.fail_after(SETTLE_TIMEOUT_S):
+            await trio.sleep(SETTLE_STEP_S)
+            while not self._is_settled():
+                await trio.sleep(SETTLE_STEP_S)
+
+    def _is_settled(self) -> bool:
+        for group in self.world.shape.objects.upstream_groups:
+            record = self.world.find_record(group.name)
+            primary = self.world.slots[record.primary]
+            if not record.started or primary.ordered_term != record.term:
+                return False
+        return True
+
+    def judge(self) -> Verdict:
+        """Return the verdict on all that callers saw."""
+        final = self.world.count_markers(self.shape.workload.census)
+        return self.history.judge(final)
--- /dev/null
+++ b/celeryfold/bench/tests/test_exploration.py
@@ -0,0 +1,99 @@
+"""The life of a group record, explored exhaustively for small sizes."""
+
+from __future__ import annotations
+
+import os
+from dataclasses import replace
+
+import pytest
+
+from celeryfold.bench.exploration import Bounds, Rules, explore
+from celeryfold.groups.freshness import Sample
+from celeryfold.groups.record import GroupRecord, covers
+from celeryfold.kernel.ids import Position
+
+pytestmark = pytest.mark.proof
+
+SMALL = Bounds(n_slots=2, n_writes=1, n_terms=3)
+LARGE = [Bounds(2, 2, 3), Bounds(3, 1, 2)]
+IS_THOROUGH = os.environ.get("HYPOTHESIS_PROFILE") == "prove"
+BOUNDS = [SMALL, *LARGE] if IS_THOROUGH else [SMALL]
+
+
+def promote_anyone(record, slot, status) -> bool:
+    """Forget which slots hold every acknowledged write."""
+    return True
+
+
+def promote_before_start(record: GroupRecord, slot, status) -> bool:
+    """Forget that a slot must have reached the start of the promised term."""
+    return slot in record.promised.confirming
+
+
+def acknowledge_unstarted(record, term, position, reports) -> bool:
+    """Forget that the term must be started."""
+    others = record.confirming - {record.primary}
+    return record.term == term and all(
+        slot in reports and covers(reports[slot], term, position) for slot in others
+    )
+
+
+def acknowledge_alone(record, term, position, reports) -> bool:
+    """Forget the other confirming slots."""
+    return record.started and record.term == term
+
+
+def sample_lowest(record: GroupRecord, reports, taken_at) -> Sample | None:
+    """Take the lowest position of the confirming slots for the bound."""
+    members = [reports[slot] for slot in record.confirming]
+    if not record.started or any(s.ordered_term != record.term for s in members):
+        return None
+    if any(status.term != record.term for status in members):
+        return None
+    lowest = min(status.position for status in members)
+    return Sample(record.term, Position(lowest), taken_at)
+
+
+def sample_by_last_entry(record: GroupRecord, reports, taken_at) -> Sample | None:
+    """Judge a slot's term by its last log entry alone."""
+    members = [reports[slot] for slot in record.confirming]
+    if not record.started or any(status.term != record.term for status in members):
+        return None
+    return Sample(record.term, reports[record.primary].position, taken_at)
+
+
+MUTATIONS = {
+    "any candidate": (replace(Rules(), can_promote=promote_anyone), SMALL),
+    "no start position": (replace(Rules(), can_promote=promote_before_start), SMALL),
+    "follow before started": (
+        replace(Rules(), may_follow=lambda record: True),
+        SMALL,
+    ),
+    "acknowledge before started": (
+        replace(Rules(), may_acknowledge=acknowledge_unstarted),
+        SMALL,
+    ),
+    "acknowledge alone": (replace(Rules(), may_acknowledge=acknowledge_alone), SMALL),
+    "grow within a term": (replace(Rules(), can_grow_within_term=True), SMALL),
+    "lowest position as bound": (replace(Rules(), make_sample=sample_lowest), SMALL),
+    "term of last entry only": (
+        replace(Rules(), make_sample=sample_by_last_entry),
+        Bounds(2, 2, 3),
+    ),
+}
+
+
+@pytest.mark.parametrize("bounds", BOUNDS, ids=str)
+def test_no_counterexample_with_the_shipped_rules(bounds):
+    result = explore(bounds)
+    print(f"{bounds}: {result.n_states} states")
+    assert result.counterexample is None
+    assert result.n_states > 10_000
+
+
+@pytest.mark.parametrize("name", MUTATIONS)
+def test_each_rule_is_needed(name):
+    rules, bounds = MUTATIONS[name]
+    counterexample = explore(bounds, rules).counterexample
+    assert counterexample is not None
+    print(name, counterexample.text, counterexample.steps)
--- a/celeryfold/bench/world.py
+++ b/celeryfold/bench/world.py
@@ -9,7 +9,6 @@
 from dataclasses import dataclass, field
 from typing import TypeVar
 
-import msgspec
 import trio
 import trio.testing
 from returns.result import Success
@@ -36,6 +35,7 @@
     LocalLogSource,
     LocalSlot,
     LocalStore,
+    run_in,
 )
 from ..standins.network import LocalNetwork, NetworkShape
 from ..standins.slot import LogSource, SlotEngine, SlotShape
@@ -86,16 +86,23 @@
         self.links: dict[str, LocalLink] = {}
         self.slots: dict[SlotId, SlotEngine] = {}
         self.instances: dict[InstanceId, Instance] = {}
-        self._scopes: dict[InstanceId, trio.CancelScope] = {}
+        self._nurseries: dict[InstanceId, trio.Nursery] = {}
 
     async def start(self) -> None:
         """Start everything and wait until each group has a primary everywhere."""
         for group in self.shape.objects.upstream_groups:
             for definition in group.slots:
                 self._start_slot(definition)
-        for number, place in enumerate(self.shape.places):
-            await self.start_instance(InstanceId(f"i{number + 1}"), place)
-        self._list_instances()
+        planned = {
+            InstanceId(f"i{number + 1}"): place
+            for number, place in enumerate(self.shape.places)
+        }
+        for name, place in planned.items():
+            self.network.add(name, place)
+        listed = [ListedInstance(name, name, place) for name, place in planned.items()]
+        self.list.set(Listing(tuple(listed)))
+        for name, place in planned.items():
+            await self.start_instance(name, place)
         store = LocalStore(self.network, STORE_NAME, self.store)
         published = await publish(store, self.shape.objects)
         assert isinstance(published, Success)
@@ -115,17 +122,6 @@
         self.network.add(name, definition.place)
         self.nursery.start_soon(engine.run)
 
-    def _list_instances(self) -> None:
-        listed = [
-            ListedInstance(
-                instance.instance_id,
-                instance.membership.me.address,
-                instance.membership.me.place,
-            )
-            for instance in self.instances.values()
-        ]
-        self.list.set(Listing(tuple(listed)))
-
     async def start_instance(self, name: InstanceId, place: PlaceId) -> Instance:
         """Start an instance."""
         self.network.add(name, place)
@@ -154,14 +150,15 @@
         self, instance: Instance, task_status: trio.TaskStatus[None]
     ) -> None:
         async with trio.open_nursery() as nursery:
-            self._scopes[instance.instance_id] = nursery.cancel_scope
+            self._nurseries[instance.instance_id] = nursery
+            self.links[instance.instance_id].nursery = nursery
             await instance.start(nursery)
             task_status.started()
 
     def kill(self, name: InstanceId) -> None:
         """End an instance at once, as kill -9 would."""
         self.links.pop(name, None)
-        self._scopes.pop(name).cancel()
+        self._nurseries.pop(name).cancel_scope.cancel()
         instance = self.instances.pop(name)
         for pool in instance.home.pools.values():
             self.nursery.start_soon(pool.close)
@@ -173,7 +170,7 @@
         await instance.leave(drain_s)
         await instance.home.close()
         await instance.link.close()
-        self._scopes.pop(name).cancel()
+        self._nurseries.pop(name).cancel_scope.cancel()
 
     def is_ready(self) -> bool:
         """Tell whether each group has a primary that every instance knows."""
@@ -225,24 +222,23 @@
         await trio.sleep(delay_s)
         if instance is None:
             return FailureBody("unreachable", "nothing was sent", Ran.NO, 100)
-        outcome: list[StatementResponse | FailureBody] = []
-        done = trio.Event()
-
-        async def serve() -> None:
-            try:
-                answer = await instance.entry.run_statement(ServiceId(service), request)
-                outcome.append(answer)
-            except RequestFailure as failure:
-                outcome.append(make_failure_body(failure))
-            done.set()
-
-        self._world.nursery.start_soon(serve)
+        nursery = self._world.links[self.name].nursery
+        answer: StatementResponse | FailureBody | None = None
         with trio.move_on_after(self._timeout_s):
-            await done.wait()
+            answer = await run_in(
+                nursery, lambda: _ask(instance, ServiceId(service), request)
+            )
         await trio.sleep(delay_s)
-        if not outcome or self.name not in self._world.instances:
-            return None
-        return msgspec.structs.replace(outcome[0])
+        return answer
+
+
+async def _ask(
+    instance: Instance, service: ServiceId, request: StatementRequest
+) -> StatementResponse | FailureBody:
+    try:
+        return await instance.entry.run_statement(service, request)
+    except RequestFailure as failure:
+        return make_failure_body(failure)
 
 
 def run_world(shape: WorldShape, use: Callable[[World], Awaitable[T]]) -> T:
--- /dev/null
+++ b/celeryfold/config/tests/test_publishing.py
@@ -0,0 +1,143 @@
+"""An accepted configuration is in force everywhere and never reverts."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from returns.result import Success
+
+from celeryfold.bench.crowd import make_small_world
+from celeryfold.bench.world import World, run_world
+from celeryfold.config.adoption import Configuration
+from celeryfold.config.objects import ObjectSet
+from celeryfold.config.publishing import Conflict, encode_set, make_digest, publish
+from celeryfold.conftest import count_examples
+from celeryfold.kernel.ids import Generation, InstanceId, PlaceId
+from celeryfold.standins.local import STORE_NAME, LocalStore
+
+pytestmark = pytest.mark.proof
+
+IN_FORCE_S = 7.0
+
+
+def change_set(world: World, n_places: int) -> ObjectSet:
+    """Return the world's objects with some more places."""
+    objects = world.shape.objects
+    extra = [{"name": f"p{n}-{'x' * 40}", "region": "a"} for n in range(n_places)]
+    content = objects.model_dump(mode="json")
+    content["places"] += extra
+    return ObjectSet.model_validate(content)
+
+
+def read_generations(world: World) -> list[int]:
+    """Return the generation in force at each live instance."""
+    return [i.configuration.generation for i in world.instances.values()]
+
+
+async def submit_with_faults(world: World, faults: list[str]) -> list[str]:
+    """Submit under faults; return what was broken."""
+    store = LocalStore(world.network, STORE_NAME, world.store)
+    broken: list[str] = []
+    accepted = 1
+    for number, fault in enumerate(faults):
+        if fault == "lost answer":
+            world.store.faults.drop_answers = 1
+        objects = change_set(world, number + 1)
+        if fault == "race":
+            results = await race(store, world, number)
+            n_accepted = sum(isinstance(result, Success) for result in results)
+            if n_accepted != 1:
+                broken.append(f"{n_accepted} of two racing submissions won")
+            accepted += 1
+        else:
+            result = await publish(store, objects)
+            if isinstance(result, Success):
+                accepted = result.unwrap().generation
+        world.store.faults.drop_answers = 0
+        await trio.sleep(0.2)
+        if fault == "outage":
+            world.store.faults.set_paused(True)
+        if fault == "restart":
+            world.store.faults.set_paused(True)
+            world.kill(InstanceId("i2"))
+            await world.start_instance(InstanceId("i2"), PlaceId("a2"))
+        before = read_generations(world)
+        await trio.sleep(IN_FORCE_S - 0.2)
+        after = read_generations(world)
+        if any(generation < accepted for generation in after):
+            broken.append(f"{fault}: {after} is not {accepted}")
+        if any(new < old for new, old in zip(after, before, strict=True)):
+            broken.append(f"{fault}: went back from {before} to {after}")
+        world.store.faults.set_paused(False)
+    return broken
+
+
+async def race(store: LocalStore, world: World, number: int) -> list[object]:
+    """Submit two sets at once, both from the same generation."""
+    results: list[object] = []
+
+    async def submit(n_places: int) -> None:
+        results.append(await publish(store, change_set(world, n_places)))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(submit, 10 + number)
+        nursery.start_soon(submit, 20 + number)
+    return results
+
+
+FAULTS = ["none", "race", "lost answer", "outage", "restart"]
+
+
+@settings(max_examples=count_examples(12, 200))
+@given(st.lists(st.sampled_from(FAULTS), min_size=1, max_size=4))
+def test_accepted_sets_are_in_force_and_stay(faults):
+    broken = run_world(
+        make_small_world(), lambda world: submit_with_faults(world, faults)
+    )
+    assert broken == []
+
+
+def test_a_set_near_a_megabyte_is_in_force():
+    async def use(world: World) -> list[int]:
+        store = LocalStore(world.network, STORE_NAME, world.store)
+        objects = change_set(world, 14_000)
+        assert 900_000 < len(encode_set(objects)) < 1_000_000
+        assert isinstance(await publish(store, objects), Success)
+        await trio.sleep(IN_FORCE_S)
+        return read_generations(world)
+
+    assert set(run_world(make_small_world(), use)) == {2}
+
+
+def test_an_outdated_submitter_is_told_what_changed():
+    async def use(world: World) -> object:
+        store = LocalStore(world.network, STORE_NAME, world.store)
+        await publish(store, change_set(world, 1))
+        return (await publish(store, change_set(world, 2), Generation(1))).failure()
+
+    conflict = run_world(make_small_world(), use)
+    assert isinstance(conflict, Conflict)
+    assert len(conflict.changed) == 1
+
+
+def test_never_reverting_needs_the_generation(monkeypatch):
+    objects = ObjectSet()
+    content = encode_set(objects)
+    configuration = Configuration()
+    assert configuration.adopt(Generation(3), make_digest(content), content)
+    assert not configuration.adopt(Generation(2), make_digest(content), content)
+    assert configuration.generation == 3
+
+
+def test_being_in_force_needs_news_from_peers(monkeypatch):
+    async def mute(self, news) -> None:
+        return
+
+    monkeypatch.setattr("celeryfold.fleet.membership.Membership.tell", mute)
+    monkeypatch.setattr("celeryfold.fleet.knowledge.Knowledge.recall", lambda self: [])
+    broken = run_world(
+        make_small_world(), lambda world: submit_with_faults(world, ["restart"])
+    )
+    assert broken
--- a/celeryfold/conftest.py
+++ b/celeryfold/conftest.py
@@ -19,3 +19,9 @@
     suppress_health_check=SLOW,
 )
 settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "fixed"))
+
+
+def count_examples(fixed: int, thorough: int) -> int:
+    """Return how many examples a test runs: few in CI, many in `make prove`."""
+    is_thorough = os.environ.get("HYPOTHESIS_PROFILE") == "prove"
+    return thorough if is_thorough else fixed
--- a/celeryfold/entry/entry.py
+++ b/celeryfold/entry/entry.py
@@ -374,8 +374,9 @@
         holder = self._ports.find_member(find_holder(transaction))
         kind = ErrorKind.OUTCOME_UNKNOWN if commits else ErrorKind.TRANSACTION_LOST
         if holder is None:
-            text = "the instance that held the transaction is gone"
-            raise RequestFailure(kind, text)
+            text = "the instance that holds the transaction is not known here"
+            unknown = ErrorKind.OUTCOME_UNKNOWN if commits else ErrorKind.NOT_RUN
+            raise RequestFailure(unknown, text)
         try:
             return await self._ports.send(holder, message, budget_s)
         except PeerUnreachable as error:
--- a/celeryfold/fleet/membership.py
+++ b/celeryfold/fleet/membership.py
@@ -37,7 +37,8 @@
 DEAD_KEPT_S = 60.0
 N_TOLD_AT_ONCE = 3
 N_MISMATCHES_UNTIL_FETCH = 2
-FETCH_TIMEOUT_S = 3.0
+FETCH_TIMEOUT_S = 1.0
+N_SEEDS_ASKED = 3
 
 _EVENTS = {
     MemberState.ALIVE: EventKind.MEMBER_ALIVE,
@@ -127,12 +128,17 @@
         nursery.start_soon(self._run)
 
     async def join(self, seeds: Iterable[Member]) -> None:
-        """Fetch what the fleet knows from the first seed that answers."""
-        for seed in seeds:
-            if seed.instance_id == self.me.instance_id:
-                continue
+        """Fetch what the fleet knows from a few seeds; one answer is enough."""
+        others = [m for m in seeds if m.instance_id != self.me.instance_id]
+        chosen = self.rng.sample(others, min(N_SEEDS_ASKED, len(others)))
+
+        async def ask(seed: Member) -> None:
             if await self._fetch_state(seed.address):
-                return
+                nursery.cancel_scope.cancel()
+
+        async with trio.open_nursery() as nursery:
+            for seed in chosen:
+                nursery.start_soon(ask, seed)
 
     async def _fetch_state(self, address: str) -> bool:
         try:
--- a/celeryfold/groups/freshness.py
+++ b/celeryfold/groups/freshness.py
@@ -38,15 +38,26 @@
 ) -> Sample | None:
     """Return a sample where every confirming slot reports the record's term.
 
+    Its position is the primary's: a record that has since lost a confirming slot may
+    have let writes through which that slot does not hold.
+
     :param reports: answers to requests sent at or after `taken_at`.
     """
     if not record.started or not record.confirming <= reports.keys():
         return None
     members = [reports[slot] for slot in record.confirming]
-    if any(status.term != record.term for status in members):
+    if not all(_is_in_term(status, record.term) for status in members):
         return None
-    position = min(status.position for status in members)
-    return Sample(record.term, Position(position), taken_at)
+    return Sample(record.term, reports[record.primary].position, taken_at)
+
+
+def _is_in_term(status: SlotStatus, term: Term) -> bool:
+    """Tell whether a slot was in a term when it reported.
+
+    A slot that starts over passes through earlier terms again, so the term of its last
+    entry alone does not tell.
+    """
+    return status.term == term and status.ordered_term == term
 
 
 class SampleShelf:
--- a/celeryfold/standins/local.py
+++ b/celeryfold/standins/local.py
@@ -2,7 +2,14 @@
 
 from __future__ import annotations
 
-__all__ = ["LocalLink", "LocalList", "LocalLogSource", "LocalSlot", "LocalStore"]
+__all__ = [
+    "LocalLink",
+    "LocalList",
+    "LocalLogSource",
+    "LocalSlot",
+    "LocalStore",
+    "run_in",
+]
 
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Any, TypeVar
@@ -52,6 +59,29 @@
     return answer
 
 
+async def run_in(nursery: trio.Nursery | None, serve: Callable[[], Awaitable[T]]) -> T:
+    """Run a call inside an instance's nursery; hang where the instance ends first."""
+    answers: list[T] = []
+    errors: list[Exception] = []
+    done = trio.Event()
+
+    async def run() -> None:
+        try:
+            answers.append(await serve())
+        except Exception as error:
+            errors.append(error)
+        done.set()
+
+    if nursery is None or nursery.cancel_scope.cancel_called:
+        await trio.sleep_forever()
+    assert nursery is not None
+    nursery.start_soon(run)
+    await done.wait()
+    if errors:
+        raise errors[0]
+    return answers[0]
+
+
 class LocalConnection(Connection):
     """A counted connection to a slot engine."""
 
@@ -283,6 +313,7 @@
         self, network: LocalNetwork, me: str, links: dict[str, LocalLink]
     ) -> None:
         super().__init__()
+        self.nursery: trio.Nursery | None = None
         self._network = network
         self._me = me
         self._links = links
@@ -298,7 +329,9 @@
             if peer is None:
                 await trio.sleep_forever()
             assert peer is not None
-            return await peer.handlers[type(message)](message)
+            return await run_in(
+                peer.nursery, lambda: peer.handlers[type(message)](message)
+            )
 
         n_bytes = len(msgspec.msgpack.encode(message)) + 16
         cause = f"peer.{type(message).__name__}"
--- a/celeryfold/standins/network.py
+++ b/celeryfold/standins/network.py
@@ -87,6 +87,10 @@
         """Undo the cut of one endpoint."""
         self._cut_endpoints.discard(name)
 
+    def heal_regions(self) -> None:
+        """Undo the cut between regions."""
+        self._cut_regions = False
+
     def is_cut(self, one: str, other: str) -> bool:
         """Tell whether nothing passes between two endpoints."""
         if one in self._cut_endpoints or other in self._cut_endpoints:
--- a/celeryfold/standins/slot.py
+++ b/celeryfold/standins/slot.py
@@ -331,17 +331,17 @@
     async def execute(
         self, statements: Sequence[Statement], begin: bool, commit: bool
     ) -> BatchAnswer:
-        """Run a batch, as its own transaction where none is open."""
+        """Run a batch; a begin inside a transaction changes nothing, as is usual."""
         self._last_used = float("inf")
         work_s = sum(self.engine.find_work_s(item.text) for item in statements)
         if work_s:
             await trio.sleep(work_s)
         if not self._open:
             raise AnswerLost("the connection is closed")
-        if begin == self.in_transaction:
+        if not begin and not self.in_transaction:
             self.close()
-            raise AnswerLost("the batch does not fit the transaction's state")
-        if begin:
+            raise AnswerLost("no transaction is open")
+        if not self.in_transaction:
             await self._begin()
         try:
             results = tuple(self._run(statement) for statement in statements)
--- /dev/null
+++ b/celeryfold/tests/test_mechanisms.py
@@ -0,0 +1,295 @@
+"""Each promise in a directed scenario: held, and broken without its mechanism."""
+
+from __future__ import annotations
+
+import itertools
+import random
+
+import pytest
+import trio
+
+from celeryfold.bench.crowd import SMALL_WORKLOAD, Crowd, CrowdShape, make_small_world
+from celeryfold.bench.history import History, Verdict
+from celeryfold.bench.world import LocalDoor, World, run_world
+from celeryfold.entry.requests import Mode, StatementRequest, StatementResponse
+from celeryfold.groups.acknowledgement import Acknowledgements
+from celeryfold.groups.freshness import SampleShelf
+from celeryfold.home import reads, running, writes
+from celeryfold.kernel.errors import ErrorKind
+from celeryfold.kernel.ids import GroupId, InstanceId, SlotId
+from celeryfold.platform.listing import Listing
+
+pytestmark = pytest.mark.proof
+
+GROUP = GroupId("g1")
+
+G1 = SMALL_WORKLOAD.service
+
+
+def make_owner(crowd: Crowd, group: str) -> str:
+    """Return an owner whose data is in a group."""
+    owners = (f"owner-{n}" for n in itertools.count())
+    return next(owner for owner in owners if crowd.find_group(owner) == group)
+
+
+def make_write(marker: str, owner: str, key: str) -> StatementRequest:
+    """Return a write of a marked row."""
+    return StatementRequest(
+        SMALL_WORKLOAD.insert,
+        (marker, owner, "2026-12-04"),
+        key=owner,
+        mode=Mode.WRITE,
+        idempotency_key=key,
+    )
+
+
+async def roam_with_lag(world: World) -> Verdict:
+    """Write, then read through every instance while replicas lag by a second."""
+    for slot in world.slots.values():
+        slot.lag_s = 1.0
+    crowd = Crowd(world)
+    caller = crowd.make_caller("c", random.Random(1))
+    for group in ("g1", "g2"):
+        owner = make_owner(crowd, group)
+        for _ in range(8):
+            await caller.read(owner, accepted_age_s=60.0)
+        for _ in range(8):
+            await caller.write(owner)
+            await caller.read(owner, accepted_age_s=60.0)
+    return crowd.judge()
+
+
+def test_own_writes_are_read_after_roaming():
+    verdict = run_world(make_small_world(), roam_with_lag)
+    assert verdict.is_good
+    assert verdict.n_failed_reads == 0
+
+
+def test_own_writes_need_the_session(monkeypatch):
+    monkeypatch.setattr(reads, "includes", lambda answer, term, position: True)
+    assert run_world(make_small_world(), roam_with_lag).n_stale_reads > 0
+
+
+async def read_with_small_age(world: World) -> Verdict:
+    """Let one caller write and another read with a small accepted age, under lag."""
+    for slot in world.slots.values():
+        slot.lag_s = 2.0
+    crowd = Crowd(world)
+    writer = crowd.make_caller("w", random.Random(1))
+    reader = crowd.make_caller("r", random.Random(2))
+    owner = make_owner(crowd, "g1")
+    for _ in range(10):
+        await writer.write(owner)
+        await trio.sleep(0.3)
+        await reader.read(owner, accepted_age_s=0.2)
+    return crowd.judge()
+
+
+def test_reads_are_fresh_under_lag():
+    verdict = run_world(make_small_world(), read_with_small_age)
+    assert verdict.is_good
+    assert verdict.n_failed_reads == 0
+
+
+def test_freshness_needs_samples(monkeypatch):
+    monkeypatch.setattr(SampleShelf, "vouches", lambda *_: True)
+    assert run_world(make_small_world(), read_with_small_age).n_stale_reads > 0
+
+
+async def split_regions(world: World) -> Verdict:
+    """Cut the regions while the primary of g2, cut off, still believes it leads."""
+    crowd = Crowd(world)
+    far = crowd.make_caller("far", random.Random(1))
+    far_door = next(door for door in world.make_doors() if door.name == "i4")
+    far._doors = [far_door]
+    near = crowd.make_caller("near", random.Random(2))
+    near._doors = [door for door in world.make_doors() if door.name != "i4"]
+    owner = make_owner(crowd, "g2")
+
+    async def write_on(caller, n_writes: int) -> None:
+        for _ in range(n_writes):
+            await caller.write(owner)
+
+    async with trio.open_nursery() as nursery:
+        await trio.sleep(1.0)
+        world.network.cut_regions()
+        nursery.start_soon(write_on, far, 3)
+        nursery.start_soon(write_on, near, 5)
+        await trio.sleep(15.0)
+        world.network.heal()
+    await crowd.settle()
+    return crowd.judge()
+
+
+def test_a_replaced_primary_acknowledges_nothing():
+    verdict = run_world(make_small_world(), split_regions)
+    assert verdict.is_good, verdict
+    assert verdict.n_acknowledged >= 5
+
+
+def test_acknowledgement_needs_the_confirming_slots(monkeypatch):
+    async def wait(self, term, position, deadline) -> bool:
+        return True
+
+    monkeypatch.setattr(Acknowledgements, "wait", wait)
+    assert run_world(make_small_world(), split_regions).n_lost > 0
+
+
+async def lose_answers(world: World) -> Verdict:
+    """Let slots commit writes and lose the answers."""
+    crowd = Crowd(world, CrowdShape(seconds=6.0, write_share=0.8))
+
+    async def lose() -> None:
+        while True:
+            await trio.sleep(0.4)
+            for slot in world.slots.values():
+                slot.faults.drop_answers = 2
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(lose)
+        await crowd.run()
+        nursery.cancel_scope.cancel()
+    for slot in world.slots.values():
+        slot.faults.drop_answers = 0
+    await crowd.settle()
+    return crowd.judge()
+
+
+def test_a_key_runs_at_most_once():
+    verdict = run_world(make_small_world(), lose_answers)
+    assert verdict.is_good, verdict
+
+
+def test_at_most_once_needs_the_outcome_record(monkeypatch):
+    numbers = itertools.count()
+    insert = writes.insert_outcome
+
+    def insert_elsewhere(key, digest):
+        return insert(f"{key}/{next(numbers)}", digest)
+
+    monkeypatch.setattr(writes, "insert_outcome", insert_elsewhere)
+    assert run_world(make_small_world(), lose_answers).n_doubled > 0
+
+
+async def write_without_keys(world: World) -> Verdict:
+    """Send writes without a key, once each, while answers get lost."""
+    crowd = Crowd(world)
+    history = History()
+    crowd.history = history
+    owner = make_owner(crowd, "g1")
+    doors = world.make_doors()
+    primary = world.slots[world.find_record(GROUP).primary]
+    not_run: list[str] = []
+    for number in range(30):
+        primary.faults.drop_answers = number % 3 == 0
+        marker = f"m{number}"
+        request = make_write(marker, owner, "")
+        answer = await doors[number % len(doors)].send(G1, request)
+        if not isinstance(answer, StatementResponse) and answer is not None:
+            if answer.ran.value == "no":
+                not_run.append(marker)
+        await trio.sleep(0.2)
+    primary.faults.drop_answers = 0
+    await crowd.settle()
+    final = world.count_markers(SMALL_WORKLOAD.census)
+    verdict = crowd.judge()
+    verdict.n_false_not_run = sum(marker in final for marker in not_run)
+    verdict.n_doubled = sum(count > 1 for count in final.values())
+    return verdict
+
+
+def test_not_run_is_true():
+    verdict = run_world(make_small_world(), write_without_keys)
+    assert verdict.n_false_not_run == 0
+    assert verdict.n_doubled == 0
+
+
+def test_not_run_needs_the_unknown_outcome(monkeypatch):
+    def describe(may_have_run: bool, text: str):
+        return running.RequestFailure(ErrorKind.NOT_RUN, text)
+
+    monkeypatch.setattr(running, "_describe_loss", describe)
+    verdict = run_world(make_small_world(), write_without_keys)
+    assert verdict.n_false_not_run + verdict.n_doubled > 0
+
+
+async def reuse_key(world: World) -> list[object]:
+    """Use one key for two different statements, through two instances."""
+    crowd = Crowd(world)
+    owner = make_owner(crowd, "g1")
+    first, second = world.make_doors()[:2]
+    answers: list[object] = [await first.send(G1, make_write("m1", owner, "k"))]
+    answers.append(await second.send(G1, make_write("m1", owner, "k")))
+    answers.append(await second.send(G1, make_write("m2", owner, "k")))
+    return answers
+
+
+def test_a_key_is_replayed_and_not_reused():
+    first, replayed, refused = run_world(make_small_world(), reuse_key)
+    assert isinstance(first, StatementResponse)
+    assert isinstance(replayed, StatementResponse)
+    assert replayed.replayed
+    assert refused.error == ErrorKind.KEY_REUSED.value
+
+
+async def use_leaving_slot(world: World) -> int:
+    """Let a replica leave, with the store down and the list lagging; count its work."""
+    crowd = Crowd(world, CrowdShape(seconds=10.0, write_share=0.1))
+    leaving = SlotId("g1-b")
+
+    async def leave() -> int:
+        await trio.sleep(2.0)
+        world.store.faults.set_paused(True)
+        listed = world.list.read().instances
+        world.list.set(Listing(listed, (leaving,)))
+        await trio.sleep(world.list.lag_s + 3.0)
+        return world.slots[leaving].n_statements
+
+    counts: list[int] = []
+
+    async def note() -> None:
+        counts.append(await leave())
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(note)
+        await crowd.run()
+    return world.slots[leaving].n_statements - counts[0]
+
+
+def test_a_leaving_slot_gets_no_new_work():
+    assert run_world(make_small_world(), use_leaving_slot) == 0
+
+
+def test_leaving_needs_the_list(monkeypatch):
+    async def ignore(self, listed) -> None:
+        return
+
+    monkeypatch.setattr("celeryfold.fleet.knowledge.Knowledge.learn_listed", ignore)
+    assert run_world(make_small_world(), use_leaving_slot) > 0
+
+
+async def stop_under_load(world: World) -> list[object]:
+    """Stop an instance gracefully while requests run on it."""
+    owner = make_owner(Crowd(world), "g1")
+    answers: list[object] = []
+
+    async def write_on(number: int) -> None:
+        for count in range(40):
+            door = LocalDoor(world, InstanceId("i1"))
+            if "i1" not in world.instances:
+                return
+            request = make_write(f"m{number}-{count}", owner, "")
+            answers.append(await door.send(G1, request))
+
+    async with trio.open_nursery() as nursery:
+        for number in range(6):
+            nursery.start_soon(write_on, number)
+        await trio.sleep(0.2)
+        await world.stop(InstanceId("i1"))
+    return answers
+
+
+def test_a_stopping_instance_finishes_what_runs():
+    answers = run_world(make_small_world(), stop_under_load)
+    assert answers
+    assert [item for item in answers if item is None] == []
--- /dev/null
+++ b/celeryfold/tests/test_promises.py
@@ -0,0 +1,128 @@
+"""The promises of the brief on a whole world, under random faults."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import pytest
+import trio
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from celeryfold.bench.crowd import Crowd, CrowdShape, make_small_world
+from celeryfold.bench.history import Verdict
+from celeryfold.bench.world import World, run_world
+from celeryfold.conftest import count_examples
+from celeryfold.kernel.ids import InstanceId, PlaceId, SlotId
+
+pytestmark = pytest.mark.proof
+
+SLOTS = ["g1-a", "g1-b", "g1-c", "g2-a", "g2-b"]
+INSTANCES = {"i1": "a1", "i2": "a2", "i3": "a2", "i4": "b1"}
+
+
+@dataclass(frozen=True)
+class Fault:
+    """Hold one fault: when, what, to whom, for how long."""
+
+    after_s: float
+    kind: str
+    target: str
+    lasts_s: float
+
+
+def make_faults() -> st.SearchStrategy[list[Fault]]:
+    """Return lists of faults of all kinds that the brief names."""
+    slots = st.sampled_from(SLOTS)
+    kinds = st.one_of(
+        st.tuples(
+            st.sampled_from(
+                ["cut_slot", "pause_slot", "silence", "lag", "drop_answers"]
+            ),
+            slots,
+        ),
+        st.tuples(st.just("cut_replication"), slots),
+        st.tuples(st.just("kill"), st.sampled_from(list(INSTANCES))),
+        st.tuples(st.just("cut_instance"), st.sampled_from(list(INSTANCES))),
+        st.tuples(
+            st.sampled_from(["store_down", "store_loses", "cut_regions"]),
+            st.just(""),
+        ),
+    )
+    fault = st.builds(
+        lambda after_s, pair, lasts_s: Fault(after_s, pair[0], pair[1], lasts_s),
+        st.sampled_from([0.5, 1.0, 2.0, 3.0, 4.0]),
+        kinds,
+        st.sampled_from([0.5, 2.0, 5.0]),
+    )
+    return st.lists(fault, min_size=1, max_size=4)
+
+
+async def cause(world: World, fault: Fault) -> None:
+    """Cause one fault and mend it after its time."""
+    await trio.sleep(fault.after_s)
+    slot = world.slots.get(SlotId(fault.target))
+    name = InstanceId(fault.target)
+    if fault.kind == "cut_slot" or fault.kind == "cut_instance":
+        world.network.cut(fault.target)
+        await trio.sleep(fault.lasts_s)
+        world.network.heal_endpoint(fault.target)
+    elif fault.kind == "cut_regions":
+        world.network.cut_regions()
+        await trio.sleep(fault.lasts_s)
+        world.network.heal_regions()
+    elif fault.kind == "kill":
+        if name in world.instances:
+            world.kill(name)
+            await trio.sleep(fault.lasts_s)
+            await world.start_instance(name, PlaceId(INSTANCES[name]))
+    elif fault.kind == "store_down":
+        world.store.faults.set_paused(True)
+        await trio.sleep(fault.lasts_s)
+        world.store.faults.set_paused(False)
+    elif fault.kind == "store_loses":
+        world.store.faults.drop_answers = 3
+    elif slot is not None:
+        await cause_at_slot(slot, fault)
+
+
+async def cause_at_slot(slot, fault: Fault) -> None:
+    """Cause one fault of a slot and mend it after its time."""
+    if fault.kind == "pause_slot":
+        slot.faults.set_paused(True)
+        await trio.sleep(fault.lasts_s)
+        slot.faults.set_paused(False)
+    elif fault.kind == "silence":
+        slot.faults.n_silences += 1
+    elif fault.kind == "drop_answers":
+        slot.faults.drop_answers = 3
+    elif fault.kind == "lag":
+        slot.lag_s = fault.lasts_s
+        await trio.sleep(fault.lasts_s)
+        slot.lag_s = 0.005
+    elif fault.kind == "cut_replication":
+        slot.faults.cut_replication = True
+        await trio.sleep(fault.lasts_s)
+        slot.faults.cut_replication = False
+
+
+def run_with_faults(faults: list[Fault], seed: int = 1) -> Verdict:
+    """Let callers work while faults happen; return the verdict."""
+
+    async def use(world: World) -> Verdict:
+        crowd = Crowd(world, CrowdShape(seconds=8.0, ages_s=(0.1, 1.0, 5.0)))
+        async with trio.open_nursery() as nursery:
+            for fault in faults:
+                nursery.start_soon(cause, world, fault)
+            await crowd.run()
+        await crowd.settle()
+        return crowd.judge()
+
+    return run_world(make_small_world(seed), use)
+
+
+@settings(max_examples=count_examples(25, 400))
+@given(make_faults(), st.integers(0, 1000))
+def test_promises_hold_under_random_faults(faults, seed):
+    verdict = run_with_faults(faults, seed)
+    assert verdict.is_good, verdict
--- a/celeryfold/wire/client.py
+++ b/celeryfold/wire/client.py
@@ -70,6 +70,9 @@
         """
         if self._stream is None or not self.usable:
             raise Unreachable(f"the connection to {self.address} is closed")
+        if self.has_unasked_data():
+            self.usable = False
+            raise Unreachable(f"{self.address} ended the connection or sent too much")
         self.usable = False
         try:
             await self._stream.send_all(self._encode(method, path, body))
@@ -78,11 +81,27 @@
             raise Unanswered(f"{self.address} broke the connection") from error
         except h11.RemoteProtocolError as error:
             raise Unanswered(f"{self.address} ended its answer early") from error
-        if self._parser.our_state is h11.DONE and self._parser.their_state is h11.DONE:
+        if self._is_clean():
             self._parser.start_next_cycle()
             self.usable = True
         return response
 
+    def _is_clean(self) -> bool:
+        """Tell whether the answer was whole and nothing follows it."""
+        if self._parser.trailing_data[0]:
+            return False
+        states = (self._parser.our_state, self._parser.their_state)
+        return states == (h11.DONE, h11.DONE)
+
+    def has_unasked_data(self) -> bool:
+        """Tell whether bytes came that answer no request, or the end."""
+        stream = self._stream
+        if isinstance(stream, trio.SSLStream):
+            stream = stream.transport_stream
+        if isinstance(stream, trio.SocketStream):
+            return bool(stream.socket.is_readable())
+        return False
+
     def _encode(self, method: str, path: str, body: bytes) -> bytes:
         headers = [("Host", self.address), ("Content-Length", str(len(body)))]
         head = h11.Request(method=method, target=path, headers=headers)
@@ -148,7 +167,8 @@
     async def _take(self) -> HttpChannel:
         while self._idle:
             channel = self._idle.pop()
-            if trio.current_time() - channel.idle_since < IDLE_CHANNEL_KEPT_S:
+            rested_s = trio.current_time() - channel.idle_since
+            if rested_s < IDLE_CHANNEL_KEPT_S and not channel.has_unasked_data():
                 return channel
             await channel.close()
         channel = HttpChannel(self.address, self._tls)
--- a/celeryfold/wire/server.py
+++ b/celeryfold/wire/server.py
@@ -27,6 +27,7 @@
 WRITE_TIMEOUT_S = 10.0
 LINGER_S = 0.5
 LISTEN_BACKLOG = 1024
+HEADERS_TEXT = f"the headers are over {MAX_HEADER_BYTES} bytes; send less"
 
 
 class ConnectionHandler(ABC):
@@ -187,6 +188,7 @@
                     scope.deadline = trio.current_time() + REQUEST_READ_TIMEOUT_S
                 _feed(parser, bytes(data))
             elif isinstance(event, h11.Request):
+                _check_head(event)
                 head = event
             elif isinstance(event, h11.Data):
                 body += event.data
@@ -204,6 +206,12 @@
         return HttpRequest(head.method.decode("ascii"), path, bytes(body), query)
 
 
+def _check_head(head: h11.Request) -> None:
+    n_bytes = sum(len(name) + len(value) for name, value in head.headers)
+    if n_bytes + len(head.target) > MAX_HEADER_BYTES:
+        raise RequestFailure(ErrorKind.HEADERS_TOO_LARGE, HEADERS_TEXT)
+
+
 def _feed(parser: h11.Connection, data: bytes) -> None:
     try:
         parser.receive_data(data)
@@ -220,8 +228,7 @@
 
 def _describe_protocol_error(error: h11.RemoteProtocolError) -> RequestFailure:
     if error.error_status_hint == 431:
-        text = f"the headers are over {MAX_HEADER_BYTES} bytes; send less"
-        return RequestFailure(ErrorKind.HEADERS_TOO_LARGE, text)
+        return RequestFailure(ErrorKind.HEADERS_TOO_LARGE, HEADERS_TEXT)
     return RequestFailure(ErrorKind.BAD_REQUEST, f"not HTTP/1.1: {error}")
 
 
--- /dev/null
+++ b/celeryfold/wire/tests/test_answers.py
@@ -0,0 +1,191 @@
+"""Each caller gets the whole answer to its own request, or an error."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from celeryfold.conftest import count_examples
+from celeryfold.wire.client import HttpChannel, HttpClient, Unanswered, Unreachable
+from celeryfold.wire.messages import HttpRequest, HttpResponse
+from celeryfold.wire.server import ConnectionHandler, HttpServer
+
+pytestmark = pytest.mark.proof
+
+FATES = ["whole", "late", "cut", "twice", "garbled"]
+
+
+async def serve_fates(stream: trio.SocketStream, fates: list[str]) -> None:
+    """Answer requests on one connection, each with a fate of its own."""
+    buffer = b""
+    while True:
+        while b"\r\n\r\n" not in buffer:
+            data = await stream.receive_some()
+            if not data:
+                return
+            buffer += data
+        head, _, buffer = buffer.partition(b"\r\n\r\n")
+        path = head.split(b" ")[1]
+        fate = fates.pop(0) if fates else "whole"
+        length = str(len(path)).encode()
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: " + length + b"\r\n\r\n" + path
+        if fate == "late":
+            await trio.sleep(0.02)
+        elif fate == "cut":
+            await stream.send_all(answer[:-1])
+            await stream.aclose()
+            return
+        elif fate == "twice":
+            answer += answer
+        elif fate == "garbled":
+            answer = b"\x00" + answer
+        await stream.send_all(answer)
+
+
+async def ask_all(fates: list[str]) -> list[tuple[str, bytes | None]]:
+    """Ask for numbered paths over one client, giving up on late answers."""
+    fates = list(fates)
+    seen: list[tuple[str, bytes | None]] = []
+    async with trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listeners[0].socket.getsockname()[1]
+
+        async def handle(stream: trio.SocketStream) -> None:
+            try:
+                await serve_fates(stream, fates)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                return
+
+        nursery.start_soon(trio.serve_listeners, handle, listeners)
+        client = HttpClient(f"127.0.0.1:{port}")
+        for number in range(len(fates) + 2):
+            path = f"/{number}"
+            body = None
+            with trio.move_on_after(0.005 if fates[:1] == ["late"] else 5):
+                try:
+                    body = (await client.request("GET", path)).body
+                except (Unanswered, Unreachable):
+                    body = None
+            seen.append((path, body))
+        await client.close()
+        nursery.cancel_scope.cancel()
+    return seen
+
+
+@settings(max_examples=count_examples(30, 500))
+@given(st.lists(st.sampled_from(FATES), max_size=6))
+def test_answers_are_whole_and_own(fates):
+    for path, body in trio.run(ask_all, fates):
+        assert body is None or body == path.encode()
+
+
+def test_own_answers_need_the_connection_dropped(monkeypatch):
+    async def keep(self) -> None:
+        self.usable = True
+
+    async def request_sharing(self, method, path, body=b""):
+        if self._stream is None:
+            await HttpChannel.start(self)
+        await self._stream.send_all(f"GET {path} HTTP/1.1\r\n\r\n".encode())
+        data = await self._stream.receive_some()
+        return HttpResponse(200, bytes(data).rpartition(b"\r\n\r\n")[2])
+
+    channels: dict[str, HttpChannel] = {}
+
+    async def take_same(self) -> HttpChannel:
+        if self.address not in channels:
+            channels[self.address] = HttpChannel(self.address)
+        return channels[self.address]
+
+    monkeypatch.setattr(HttpChannel, "close", keep)
+    monkeypatch.setattr(HttpChannel, "request", request_sharing)
+    monkeypatch.setattr(HttpClient, "_take", take_same)
+    seen = trio.run(ask_all, ["late", "whole", "whole"])
+    assert any(body not in (None, path.encode()) for path, body in seen)
+
+
+class EchoHandler(ConnectionHandler):
+    """Answer with the length of the body."""
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        return HttpResponse(200, str(len(request.body)).encode())
+
+
+async def send_raw(data: bytes) -> bytes:
+    """Send bytes to a server, close our half, return all that it answers."""
+    async with trio.open_nursery() as nursery:
+        server = HttpServer("127.0.0.1", 0, EchoHandler)
+        await server.start(nursery)
+        stream = await trio.open_tcp_stream("127.0.0.1", server.port)
+        answer = b""
+        try:
+            await stream.send_all(data)
+            await stream.send_eof()
+            with trio.move_on_after(5):
+                async for part in stream:
+                    answer += part
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        good = await HttpClient(f"127.0.0.1:{server.port}").request("POST", "/", b"abc")
+        assert good.body == b"3"
+        await server.close()
+        nursery.cancel_scope.cancel()
+    return answer
+
+
+@settings(max_examples=count_examples(40, 1000))
+@given(st.binary(max_size=300))
+def test_garbage_at_the_door_harms_nobody(data):
+    answer = trio.run(send_raw, data)
+    assert answer == b"" or answer.startswith(b"HTTP/1.1 ")
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"GET / HTTP/1.1\r\nHost: x\r\nA: " + b"a" * 20_000 + b"\r\n\r\n", b"431"),
+        (
+            b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1600000\r\n\r\n"
+            + b"a" * 1_600_000,
+            b"413",
+        ),
+        (b"nonsense\r\n\r\n", b"400"),
+    ],
+    ids=["headers", "body", "nonsense"],
+)
+def test_bad_input_gets_a_clear_status(data, status):
+    assert trio.run(send_raw, data)[9:12] == status
+
+
+async def stop_during_request(linger_s: float) -> list[bytes]:
+    """Stop a server while a request is in progress and another follows."""
+    release = trio.Event()
+
+    class SlowHandler(ConnectionHandler):
+        async def handle(self, request: HttpRequest) -> HttpResponse:
+            await release.wait()
+            return HttpResponse(200, request.path.encode())
+
+    answers: list[bytes] = []
+    async with trio.open_nursery() as nursery:
+        server = HttpServer("127.0.0.1", 0, SlowHandler)
+        await server.start(nursery)
+
+        async def ask() -> None:
+            client = HttpClient(f"127.0.0.1:{server.port}")
+            answers.append((await client.request("GET", "/slow")).body)
+            await client.close()
+
+        nursery.start_soon(ask)
+        await trio.testing.wait_all_tasks_blocked(0.05)
+        await server.stop_accepting()
+        release.set()
+        await server.wait_idle()
+        await server.close()
+    return answers
+
+
+def test_a_stopping_server_answers_what_runs():
+    assert trio.run(stop_during_request, 0.0) == [b"/slow"]
