--- /dev/null
+++ b/celeryfold/bench/baseline.py
@@ -0,0 +1,92 @@
+"""The baseline: a plain proxy without any of celeryfold's policies."""
+
+from __future__ import annotations
+
+__all__ = ["BASELINE_TEXT", "PlainProxy", "ReadPolicy"]
+
+import itertools
+from enum import Enum
+
+import trio
+
+from ..kernel.ids import InstanceId, SlotId
+from ..platform.slot import BatchAnswer, Connection, Slot, Statement
+from ..standins.local import LocalSlot
+from .world import World
+
+BASELINE_TEXT = (
+    "a plain proxy: reads to the primary or round-robin, connections split evenly "
+    "between instances, one first-in-first-out queue, no admission"
+)
+CHECK_INTERVAL_S = 2.0
+N_FAILED_CHECKS = 3
+CHECK_TIMEOUT_S = 1.0
+
+
+class ReadPolicy(Enum):
+    """Say where the plain proxy sends reads."""
+
+    PRIMARY = "primary"
+    ROUND_ROBIN = "round_robin"
+
+
+class PlainProxy:
+    """One plain proxy process for one group of slots.
+
+    :param n_proxies: how many proxies share the connections.
+    """
+
+    def __init__(
+        self,
+        world: World,
+        name: InstanceId,
+        slots: list[SlotId],
+        n_proxies: int,
+        policy: ReadPolicy,
+    ) -> None:
+        self.primary = slots[0]
+        self._slots = slots
+        self._policy = policy
+        self._turns = itertools.cycle(slots)
+        self._drivers: dict[SlotId, Slot] = {
+            slot: LocalSlot(world.network, name, world.slots[slot]) for slot in slots
+        }
+        self._queues = {
+            slot: trio.Semaphore(
+                max(1, world.slots[slot].shape.connection_limit // n_proxies)
+            )
+            for slot in slots
+        }
+        self._idle: dict[SlotId, list[Connection]] = {slot: [] for slot in slots}
+
+    async def read(self, statement: Statement) -> tuple[SlotId, BatchAnswer]:
+        """Run a read wherever the policy says."""
+        slot = self.primary
+        if self._policy is ReadPolicy.ROUND_ROBIN:
+            slot = next(self._turns)
+        return slot, await self.run(slot, statement)
+
+    async def run(self, slot: SlotId, statement: Statement) -> BatchAnswer:
+        """Run a statement on a slot, waiting for as long as it takes."""
+        async with self._queues[slot]:
+            idle = self._idle[slot]
+            connection = idle.pop() if idle else await self._drivers[slot].connect()
+            answer = await connection.execute([statement], begin=True, commit=True)
+            idle.append(connection)
+            return answer
+
+    async def guard(self) -> None:
+        """Check the primary now and then; promote the next slot when it is gone."""
+        n_failed = 0
+        while n_failed < N_FAILED_CHECKS:
+            await trio.sleep(CHECK_INTERVAL_S)
+            try:
+                with trio.fail_after(CHECK_TIMEOUT_S):
+                    await self._drivers[self.primary].fetch_status()
+                n_failed = 0
+            except Exception:
+                n_failed += 1
+        heir = next(slot for slot in self._slots if slot != self.primary)
+        status = await self._drivers[heir].fetch_status()
+        await self._drivers[heir].promote(type(status.term)(status.ordered_term + 1))
+        self.primary = heir
--- a/celeryfold/bench/callers.py
+++ b/celeryfold/bench/callers.py
@@ -87,6 +87,10 @@
         self._own: dict[str, set[str]] = {}
         self._n_writes = 0
 
+    def use_doors(self, doors: Fleet) -> None:
+        """Use other instances from now on."""
+        self._doors = doors
+
     async def write(self, owner: str) -> WriteOutcome:
         """Add a marked row under an idempotency key until the outcome is definite."""
         self._n_writes += 1
--- /dev/null
+++ b/celeryfold/bench/failover.py
@@ -0,0 +1,200 @@
+"""Measure the gap in service when a primary is cut off."""
+
+from __future__ import annotations
+
+__all__ = ["FailoverGapMeasure"]
+
+import random
+
+import trio
+
+from ..kernel.ids import InstanceId
+from ..platform.slot import Statement
+from .baseline import PlainProxy, ReadPolicy
+from .crowd import Crowd, CrowdShape
+from .deployments import Deployment, load_deployment
+from .report import MEASURES, Figures, Measure, Report, divide, find_percentile
+from .world import World, WorldShape, run_world
+
+N_SEEDS = 20
+WRITE_EVERY_S = 0.02
+READ_EVERY_S = 0.02
+READ_AGE_S = 10.0
+GIVE_UP_S = 30.0
+STORE_DELAY_S = 0.5
+N_INSTANCES = 6
+
+
+def make_world_shape(
+    deployment: Deployment, seed: int, n_instances: int = N_INSTANCES
+) -> WorldShape:
+    """Return a deployment's world: instances spread over its places."""
+    places = [place.name for place in deployment.objects.places]
+    return WorldShape(
+        deployment.objects,
+        deployment.shapes,
+        tuple(places[n % len(places)] for n in range(n_instances)),
+        places[0],
+        deployment.client_delay_s,
+        seed=seed,
+    )
+
+
+class _Trial:
+    """One primary cut off, with callers at work on its group."""
+
+    def __init__(self, world: World, deployment: Deployment, fault: str) -> None:
+        workload = deployment.workload
+        shape = CrowdShape(service=workload.service, workload=workload)
+        self.world = world
+        self.fault = fault
+        self.crowd = Crowd(world, shape)
+        self.rng = random.Random(world.shape.seed)
+        groups = self.crowd.catalog.services[workload.service].upstream_groups
+        self.group = groups[0]
+        owners = (f"owner-{n}" for n in range(1000))
+        self.owner = next(o for o in owners if self.crowd.find_group(o) == self.group)
+        self.n_reads_good = 0
+        self.n_reads = 0
+
+    async def run(self) -> tuple[float, float]:
+        """Return the gap in seconds and the share of reads served in it."""
+        with trio.move_on_after(2.0 + self.rng.random()):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._read_on, nursery)
+        self.n_reads = self.n_reads_good = 0
+        cut_at = trio.current_time()
+        primary = self.world.find_record(self.group).primary
+        self.world.network.cut(primary)
+        self._add_fault()
+        self.crowd.history.writes.clear()
+        with trio.move_on_after(GIVE_UP_S):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._write_on, nursery)
+                nursery.start_soon(self._read_on, nursery)
+                await self._wait_acknowledged(nursery, cut_at)
+        gap_s = self.crowd.history.find_gap_s(self.group, cut_at)
+        share = self.n_reads_good / max(1, self.n_reads)
+        return gap_s if gap_s is not None else GIVE_UP_S, share
+
+    def _add_fault(self) -> None:
+        if self.fault == "guardian dead":
+            guardians = next(iter(self.world.instances.values()))
+            record = self.world.find_record(self.group)
+            ranked = guardians.placement.find_guardians(record.primary)
+            self.world.kill(InstanceId(ranked[0].instance_id))
+        elif self.fault == "store slow":
+            self.world.store.faults.delay_s = STORE_DELAY_S
+
+    async def _write_on(self, nursery: trio.Nursery) -> None:
+        number = 0
+        while True:
+            number += 1
+            caller = self.crowd.make_caller(f"w{number}", self.rng)
+            nursery.start_soon(caller.write, self.owner)
+            await trio.sleep(WRITE_EVERY_S)
+
+    async def _read_on(self, nursery: trio.Nursery) -> None:
+        while True:
+            nursery.start_soon(self._read)
+            await trio.sleep(READ_EVERY_S)
+
+    async def _read(self) -> None:
+        caller = self.crowd.make_caller("r", self.rng)
+        self.n_reads += 1
+        is_good = await caller.read(self.owner, READ_AGE_S)
+        self.n_reads_good += is_good
+
+    async def _wait_acknowledged(self, nursery: trio.Nursery, cut_at: float) -> None:
+        while self.crowd.history.find_gap_s(self.group, cut_at) is None:
+            await trio.sleep(0.01)
+        nursery.cancel_scope.cancel()
+
+
+async def _run_baseline(world: World, deployment: Deployment) -> float:
+    """Return the gap of a plain proxy with fixed checks."""
+    group = world.shape.objects.upstream_groups[0]
+    slots = [slot.name for slot in group.slots]
+    proxy = PlainProxy(world, InstanceId("i2"), slots, 1, ReadPolicy.PRIMARY)
+    rng = random.Random(world.shape.seed)
+    workload = deployment.workload
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(proxy.guard)
+        await trio.sleep(2.0 + rng.random())
+        cut_at = trio.current_time()
+        first = proxy.primary
+        for instance in list(world.instances):
+            if instance != "i2":
+                world.kill(instance)
+        world.network.cut(first)
+        with trio.move_on_after(GIVE_UP_S):
+            while True:
+                with trio.move_on_after(1.0) as attempt:
+                    insert = Statement(workload.insert, ("m", "o", "2026-12-04"))
+                    await proxy.run(proxy.primary, insert)
+                if not attempt.cancelled_caught:
+                    break
+        nursery.cancel_scope.cancel()
+    return trio.current_time() - cut_at
+
+
+class FailoverGapMeasure(Measure):
+    """Cut a primary off, alone and with one more fault, over 20 seeds."""
+
+    def run(self, deployment: str, seed: int) -> Report:
+        """Run all trials on a mock clock."""
+        loaded = load_deployment(deployment)
+        seeds = range(seed, seed + N_SEEDS)
+        figures: Figures = {}
+        series: dict[str, list[float]] = {}
+        for fault in ("alone", "guardian dead", "store slow"):
+            gaps = []
+            shares = []
+            for number in seeds:
+                gap_s, share = _run_trial(loaded, number, fault)
+                gaps.append(gap_s)
+                shares.append(share)
+            name = fault.replace(" ", "_")
+            series[name] = gaps
+            figures[f"p50_s_{name}"] = round(find_percentile(gaps, 0.5), 3)
+            figures[f"max_s_{name}"] = round(max(gaps), 3)
+            figures[f"reads_served_{name}"] = round(min(shares), 4)
+        plain = [_run_plain(loaded, number) for number in seeds]
+        series["baseline"] = plain
+        baseline = {
+            "p50_s_alone": round(find_percentile(plain, 0.5), 3),
+            "max_s_alone": round(max(plain), 3),
+        }
+        text = (
+            "a plain proxy: one process checks the primary every 2 s and promotes "
+            "after three failures"
+        )
+        ratio = divide(figures, baseline)
+        return Report(
+            "failover-gap",
+            deployment,
+            seed,
+            text,
+            baseline,
+            figures,
+            ratio,
+            4 * N_SEEDS,
+            series,
+        )
+
+
+def _run_trial(deployment: Deployment, seed: int, fault: str) -> tuple[float, float]:
+    async def use(world: World) -> tuple[float, float]:
+        return await _Trial(world, deployment, fault).run()
+
+    return run_world(make_world_shape(deployment, seed), use)
+
+
+def _run_plain(deployment: Deployment, seed: int) -> float:
+    async def use(world: World) -> float:
+        return await _run_baseline(world, deployment)
+
+    return run_world(make_world_shape(deployment, seed), use)
+
+
+MEASURES.add("failover-gap", FailoverGapMeasure)
--- /dev/null
+++ b/celeryfold/bench/replica_reads.py
@@ -0,0 +1,252 @@
+"""Measure the share of reads served by replicas while replication lag swings."""
+
+from __future__ import annotations
+
+__all__ = ["ReplicaReadsMeasure"]
+
+import math
+import random
+from dataclasses import dataclass, field
+
+import trio
+
+from ..kernel.ids import GroupId, InstanceId, PlaceId, RegionId, SlotId
+from ..platform.slot import Statement
+from .baseline import PlainProxy, ReadPolicy
+from .callers import Caller
+from .crowd import Crowd, CrowdShape
+from .deployments import Deployment, load_deployment
+from .failover import make_world_shape
+from .report import MEASURES, Figures, Measure, Report, divide
+from .world import LocalDoor, World, run_world
+
+N_CALLERS = 18
+N_OWNERS = 60
+SECONDS = 20.0
+PAUSE_S = 0.08
+WRITE_SHARE = 0.1
+MIN_LAG_S = 0.005
+MAX_LAG_S = 5.0
+LAG_CHANGE_S = (1.0, 4.0)
+AGES_S = (1.0, 5.0, 10.0)
+SKEW = 3.0
+CONFIRM_MARGIN_S = 0.1
+
+
+@dataclass
+class _Tally:
+    n_reads: int = 0
+    n_eligible: int = 0
+    n_eligible_replica: int = 0
+    n_replica: int = 0
+    own_writes: dict[tuple[str, str], float] = field(default_factory=dict)
+
+
+class _Load:
+    """Callers spread over all places, each using the instances of its own place."""
+
+    def __init__(self, world: World, deployment: Deployment) -> None:
+        workload = deployment.workload
+        self.world = world
+        self.deployment = deployment
+        shape = CrowdShape(service=workload.service, workload=workload)
+        self.crowd = Crowd(world, shape)
+        self.tally = _Tally()
+
+    async def swing_lag(self, slot: SlotId) -> None:
+        """Set another lag every few seconds, spread evenly over magnitudes."""
+        rng = random.Random(f"{self.world.shape.seed}/{slot}")
+        low, high = math.log(MIN_LAG_S), math.log(MAX_LAG_S)
+        while True:
+            self.world.slots[slot].lag_s = math.exp(rng.uniform(low, high))
+            await trio.sleep(rng.uniform(*LAG_CHANGE_S))
+
+    def choose_owner(self, rng: random.Random) -> str:
+        """Return an owner, a few of them far more often than others."""
+        return f"owner-{int(N_OWNERS * rng.random() ** SKEW)}"
+
+    def is_eligible(
+        self, name: str, owner: str, age_s: float, region: RegionId
+    ) -> bool:
+        """Tell whether some replica of a region is fresh enough for a read."""
+        group = self.crowd.find_group(owner)
+        primary = self.world.find_record(group).primary
+        own_s = trio.current_time() - self.tally.own_writes.get(
+            (name, group), float("-inf")
+        )
+        limit_s = min(age_s, own_s) - CONFIRM_MARGIN_S
+        definition = self.crowd.catalog.groups[group]
+        return any(
+            self.world.slots[slot.name].lag_s <= limit_s
+            for slot in definition.slots
+            if slot.name != primary and self.crowd.catalog.regions[slot.place] == region
+        )
+
+    async def work(self, number: int, ends_at: float) -> None:
+        """Be one caller until the end."""
+        rng = random.Random(f"{self.world.shape.seed}/{number}")
+        name = f"c{number}"
+        caller = self.crowd.make_caller(name, rng)
+        caller.use_doors(self._list_near_doors(number))
+        region = self.crowd.catalog.regions[self._find_place(number)]
+        while trio.current_time() < ends_at:
+            owner = self.choose_owner(rng)
+            if rng.random() < WRITE_SHARE:
+                await caller.write(owner)
+                group = self.crowd.find_group(owner)
+                self.tally.own_writes[name, group] = trio.current_time()
+            else:
+                await self._read(caller, owner, rng.choice(AGES_S), region)
+            await trio.sleep(PAUSE_S * rng.uniform(0.5, 1.5))
+
+    def _find_place(self, number: int) -> PlaceId:
+        places = sorted(set(self.world.shape.places))
+        return places[number % len(places)]
+
+    def _list_near_doors(self, number: int) -> list[LocalDoor]:
+        place = self._find_place(number)
+        return [
+            LocalDoor(self.world, name)
+            for name, instance in self.world.instances.items()
+            if instance.membership.me.place == place
+        ]
+
+    async def _read(
+        self, caller: Caller, owner: str, age_s: float, region: RegionId
+    ) -> None:
+        is_eligible = self.is_eligible(caller.name, owner, age_s, region)
+        if not await caller.read(owner, age_s):
+            return
+        from_replica = self.crowd.history.reads[-1].from_replica
+        self.tally.n_reads += 1
+        self.tally.n_replica += from_replica
+        self.tally.n_eligible += is_eligible
+        self.tally.n_eligible_replica += is_eligible and from_replica
+
+    async def run(self) -> Figures:
+        """Return the figures of the run."""
+        self.world.network.region_bytes.clear()
+        ends_at = trio.current_time() + SECONDS
+        async with trio.open_nursery() as side:
+            for slot in self.world.slots:
+                side.start_soon(self.swing_lag, slot)
+            async with trio.open_nursery() as nursery:
+                for number in range(N_CALLERS):
+                    nursery.start_soon(self.work, number, ends_at)
+            side.cancel_scope.cancel()
+        await self.crowd.settle()
+        return self._describe()
+
+    def _describe(self) -> Figures:
+        verdict = self.crowd.judge()
+        tally = self.tally
+        n_bytes = _count_read_bytes(self.world)
+        return {
+            "replica_share": round(tally.n_replica / max(1, tally.n_reads), 4),
+            "replica_share_of_eligible": round(
+                tally.n_eligible_replica / max(1, tally.n_eligible), 4
+            ),
+            "n_reads": tally.n_reads,
+            "n_failed_reads": verdict.n_failed_reads,
+            "n_stale_reads": verdict.n_stale_reads,
+            "n_lost": verdict.n_lost,
+            "n_doubled": verdict.n_doubled,
+            "region_bytes_a_read": round(n_bytes / max(1, tally.n_reads), 1),
+        }
+
+
+def _count_read_bytes(world: World) -> int:
+    """Return the bytes between regions for reads and what supports them."""
+    causes = world.network.region_bytes
+    wanted = ("statement.read", "peer.RunRead", "peer.TakeSample")
+    return sum(causes[cause] for cause in wanted)
+
+
+class _PlainLoad(_Load):
+    """The same reads and writes through plain proxies."""
+
+    def __init__(
+        self, world: World, deployment: Deployment, policy: ReadPolicy
+    ) -> None:
+        super().__init__(world, deployment)
+        self.policy = policy
+        self.n_stale = 0
+        self._proxies: dict[tuple[str, GroupId], PlainProxy] = {}
+        self._acknowledged: dict[str, list[tuple[float, str]]] = {}
+
+    def _find_proxy(self, door: InstanceId, group: GroupId) -> PlainProxy:
+        if (door, group) not in self._proxies:
+            slots = [slot.name for slot in self.crowd.catalog.groups[group].slots]
+            self._proxies[door, group] = PlainProxy(
+                self.world, door, slots, len(self.world.shape.places), self.policy
+            )
+        return self._proxies[door, group]
+
+    async def work(self, number: int, ends_at: float) -> None:
+        rng = random.Random(f"{self.world.shape.seed}/{number}")
+        doors = self._list_near_doors(number)
+        workload = self.deployment.workload
+        n_writes = 0
+        while trio.current_time() < ends_at:
+            owner = self.choose_owner(rng)
+            group = self.crowd.find_group(owner)
+            proxy = self._find_proxy(rng.choice(doors).name, group)
+            if rng.random() < WRITE_SHARE:
+                n_writes += 1
+                marker = f"c{number}-{n_writes}"
+                insert = Statement(workload.insert, (marker, owner, "2026-12-04"))
+                await proxy.run(proxy.primary, insert)
+                acknowledged = self._acknowledged.setdefault(owner, [])
+                acknowledged.append((trio.current_time(), marker))
+            else:
+                await self._read_plain(proxy, owner, rng.choice(AGES_S))
+            await trio.sleep(PAUSE_S * rng.uniform(0.5, 1.5))
+
+    async def _read_plain(self, proxy: PlainProxy, owner: str, age_s: float) -> None:
+        began = trio.current_time()
+        lookup = Statement(self.deployment.workload.lookup, (owner,))
+        slot, answer = await proxy.read(lookup)
+        self.tally.n_reads += 1
+        self.tally.n_replica += slot != proxy.primary
+        seen = {row[0] for row in answer.results[0].rows}
+        due = {
+            marker
+            for at, marker in self._acknowledged.get(owner, [])
+            if at < began - age_s
+        }
+        self.n_stale += not due <= seen
+
+    def _describe(self) -> Figures:
+        tally = self.tally
+        n_bytes = _count_read_bytes(self.world)
+        return {
+            "replica_share": round(tally.n_replica / max(1, tally.n_reads), 4),
+            "n_reads": tally.n_reads,
+            "n_stale_reads": self.n_stale,
+            "region_bytes_a_read": round(n_bytes / max(1, tally.n_reads), 1),
+        }
+
+
+class ReplicaReadsMeasure(Measure):
+    """Reads with the ages of the brief's kinds, under lag from 5 ms to 5 s."""
+
+    def run(self, deployment: str, seed: int) -> Report:
+        """Run celeryfold and both baselines on a mock clock."""
+        loaded = load_deployment(deployment)
+        shape = make_world_shape(loaded, seed)
+        ours = run_world(shape, lambda world: _Load(world, loaded).run())
+        to_primary = run_world(
+            shape, lambda world: _PlainLoad(world, loaded, ReadPolicy.PRIMARY).run()
+        )
+        in_turn = run_world(
+            shape, lambda world: _PlainLoad(world, loaded, ReadPolicy.ROUND_ROBIN).run()
+        )
+        baseline = to_primary | {f"{k}_in_turn": v for k, v in in_turn.items()}
+        kept = ours["region_bytes_a_read"] / max(1, baseline["region_bytes_a_read"])
+        ours["region_bytes_saved"] = round(1 - kept, 4)
+        text = "a plain proxy: all reads to the primary; `in_turn`: round-robin"
+        ratio = divide(ours, baseline)
+        return Report("replica-reads", deployment, seed, text, baseline, ours, ratio, 3)
+
+
+MEASURES.add("replica-reads", ReplicaReadsMeasure)
--- a/celeryfold/bench/world.py
+++ b/celeryfold/bench/world.py
@@ -217,9 +217,9 @@
         self, service: str, request: StatementRequest
     ) -> StatementResponse | FailureBody | None:
         """Send a statement; None where no answer came."""
-        instance = self._world.instances.get(self.name)
         delay_s = self._world.shape.client_delay_s
         await trio.sleep(delay_s)
+        instance = self._world.instances.get(self.name)
         if instance is None:
             return FailureBody("unreachable", "nothing was sent", Ran.NO, 100)
         nursery = self._world.links[self.name].nursery
--- a/celeryfold/commands/bench.py
+++ b/celeryfold/commands/bench.py
@@ -13,7 +13,7 @@
 from ..bench.report import MEASURES, Report
 from ..kernel.logs import start_logging
 
-MODULES = ("path",)
+MODULES = ("control", "crest", "failover", "path", "replica_reads", "state")
 
 
 def run(
--- a/celeryfold/conftest.py
+++ b/celeryfold/conftest.py
@@ -4,7 +4,7 @@
 
 import os
 
-from hypothesis import HealthCheck, settings
+from hypothesis import HealthCheck, Phase, settings
 
 SLOW = [HealthCheck.too_slow, HealthCheck.data_too_large]
 
@@ -16,6 +16,7 @@
     max_examples=1000,
     deadline=None,
     print_blob=True,
+    phases=[Phase.explicit, Phase.reuse, Phase.generate],
     suppress_health_check=SLOW,
 )
 settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "fixed"))
--- a/celeryfold/daemon.py
+++ b/celeryfold/daemon.py
@@ -87,7 +87,7 @@
     def open_slot(definition: SlotDefinition) -> Slot:
         driver = SLOT_DRIVERS.find(definition.driver)
         if driver is HttpSlot:
-            return HttpSlot(definition.name, definition.address, slot_tls)
+            return HttpSlot(definition.name, definition.address, slot_tls, metrics)
         return driver(definition.name, definition.address)  # type: ignore[call-arg]
 
     platform = Platform(
--- a/celeryfold/entry/entry.py
+++ b/celeryfold/entry/entry.py
@@ -62,6 +62,7 @@
 
 _RETRY_READ_ELSEWHERE = {
     ErrorKind.TOO_STALE,
+    ErrorKind.NOT_CAUGHT_UP,
     ErrorKind.OVERLOADED,
     ErrorKind.NOT_RUN,
     ErrorKind.SHUTTING_DOWN,
@@ -152,7 +153,11 @@
             self._timeline.add(EventKind.OUTCOME_UNKNOWN, group, failure.message)
 
     def _find_service(self, name: ServiceId) -> Service:
-        service = self._ports.find_catalog().services.get(name)
+        catalog = self._ports.find_catalog()
+        if not catalog.services:
+            text = "this instance has no configuration yet; try another"
+            raise RequestFailure(ErrorKind.NOT_RUN, text)
+        service = catalog.services.get(name)
         if service is None:
             text = f"service '{name}' is not defined"
             raise RequestFailure(ErrorKind.UNKNOWN_SERVICE, text)
@@ -172,7 +177,8 @@
             accepted_ms = rule.accepted_age_ms
         term, position = seen.get(group.name, (Term(0), Position(0)))
         failure = RequestFailure(ErrorKind.NOT_RUN, "no slot may serve reads now")
-        candidates = self._router.list_slots(group)
+        accepted_s = accepted_ms / 1000.0
+        candidates = self._router.list_slots(group, accepted_s)
         for rank, slot in enumerate(candidates):
             budget_s = deadline - trio.current_time()
             if budget_s <= 0 or (rank and not self._budget.take()):
@@ -184,7 +190,7 @@
                 group.name,
                 slot,
                 Statement(request.statement, request.parameters),
-                accepted_ms / 1000.0,
+                accepted_s,
                 term,
                 position,
                 0.0 if is_last else rule.local_wait_ms / 1000.0,
@@ -198,7 +204,10 @@
                 if error.kind not in _RETRY_READ_ELSEWHERE:
                     raise
                 self._metrics.count(f"entry.read_elsewhere.{error.kind.value}")
-                self._router.avoid_slot(slot, error.kind is ErrorKind.TOO_STALE)
+                if error.kind is ErrorKind.TOO_STALE:
+                    self._router.avoid_stale_slot(slot, accepted_s)
+                elif error.kind is not ErrorKind.NOT_CAUGHT_UP:
+                    self._router.avoid_slot(slot)
         raise failure
 
     async def _send_read(self, slot: SlotId, message: RunRead) -> StatementAnswer:
--- a/celeryfold/fleet/members.py
+++ b/celeryfold/fleet/members.py
@@ -59,7 +59,7 @@
         return _SEVERITY[self.state] > _SEVERITY[other.state]
 
 
-class MemberNews(msgspec.Struct, frozen=True, tag="m"):
+class MemberNews(msgspec.Struct, frozen=True, array_like=True, tag="m"):
     """Tell the state of a member."""
 
     member: Member
@@ -70,7 +70,7 @@
         return f"member/{self.member.instance_id}"
 
 
-class RecordNews(msgspec.Struct, frozen=True, tag="r"):
+class RecordNews(msgspec.Struct, frozen=True, array_like=True, tag="r"):
     """Tell a group's record."""
 
     known: KnownRecord
@@ -81,7 +81,7 @@
         return f"record/{self.known.group}"
 
 
-class ConfigNews(msgspec.Struct, frozen=True, tag="c"):
+class ConfigNews(msgspec.Struct, frozen=True, array_like=True, tag="c"):
     """Tell the generation of configuration in force and who has it."""
 
     generation: Generation
@@ -94,7 +94,7 @@
         return "config"
 
 
-class SlotNews(msgspec.Struct, frozen=True, tag="s"):
+class SlotNews(msgspec.Struct, frozen=True, array_like=True, tag="s"):
     """Tell that a slot is leaving, or is not any more.
 
     :param stamp_ms: hybrid time of the word; the later word holds.
--- a/celeryfold/fleet/membership.py
+++ b/celeryfold/fleet/membership.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-__all__ = ["KnowledgePorts", "Membership"]
+__all__ = ["KnowledgePorts", "Membership", "UsabilityWatcher"]
 
 import logging
 import random
 from abc import ABC, abstractmethod
 from collections.abc import Iterable
+from typing import Protocol
 
 import msgspec
 import trio
@@ -40,6 +41,7 @@
 FETCH_TIMEOUT_S = 1.0
 N_SEEDS_ASKED = 3
 
+_USABLE = (MemberState.ALIVE, MemberState.SUSPECT)
 _EVENTS = {
     MemberState.ALIVE: EventKind.MEMBER_ALIVE,
     MemberState.SUSPECT: EventKind.MEMBER_SUSPECT,
@@ -64,6 +66,16 @@
         """Return a hash of what :meth:`recall` returns."""
 
 
+class UsabilityWatcher(Protocol):
+    """Be told which members may be given work."""
+
+    def add(self, member: Member) -> None:
+        """Take in a member, or its new description."""
+
+    def remove(self, member: Member) -> None:
+        """Forget a member."""
+
+
 class Membership:
     """Keep this instance's view of the fleet.
 
@@ -91,7 +103,7 @@
         self._since: dict[InstanceId, float] = {}
         self._order: list[InstanceId] = []
         self._usable: list[Member] | None = None
-        self.version = 0
+        self.watchers: list[UsabilityWatcher] = []
         self._n_mismatches = 0
         self._nursery: trio.Nursery | None = None
         link.on(Probe, self._answer_probe)
@@ -103,15 +115,28 @@
         """Return the members that may be given work, this one included."""
         if self._usable is None:
             self._usable = [
-                member
-                for member in self.members.values()
-                if member.state in (MemberState.ALIVE, MemberState.SUSPECT)
+                member for member in self.members.values() if member.state in _USABLE
             ]
         return self._usable
 
-    def _note_change(self) -> None:
+    def watch(self, watcher: UsabilityWatcher) -> None:
+        """Tell a watcher of every member that may be given work, now and later."""
+        self.watchers.append(watcher)
+        for member in self.usable():
+            watcher.add(member)
+
+    def _put(self, member: Member) -> None:
+        """Set what is known of a member and tell the watchers."""
+        known = self.members.get(member.instance_id)
+        self.members[member.instance_id] = member
         self._usable = None
-        self.version += 1
+        for watcher in self.watchers:
+            if known is not None and known.place != member.place:
+                watcher.remove(known)
+            if member.state in _USABLE:
+                watcher.add(member)
+            elif known is not None and known.state in _USABLE:
+                watcher.remove(member)
 
     def others(self) -> list[Member]:
         """Return every other member not known to be dead."""
@@ -203,13 +228,11 @@
     def _restate(self, state: MemberState, above: int = 0) -> None:
         incarnation = max(self.me.incarnation, above) + 1
         self.me = msgspec.structs.replace(self.me, incarnation=incarnation, state=state)
-        self.members[self.me.instance_id] = self.me
-        self._note_change()
+        self._put(self.me)
 
     def _adopt(self, member: Member) -> None:
         known = self.members.get(member.instance_id)
-        self.members[member.instance_id] = member
-        self._note_change()
+        self._put(member)
         if known is None or known.state is not member.state:
             self._since[member.instance_id] = trio.current_time()
             self._timeline.add(_EVENTS[member.state], member.instance_id)
@@ -297,7 +320,6 @@
             elif member.state is MemberState.DEAD and waited_s >= DEAD_KEPT_S:
                 del self.members[member.instance_id]
                 del self._since[member.instance_id]
-                self._note_change()
 
     async def _tell_some(self, news: tuple[News, ...]) -> None:
         chosen = self._choose_listeners()
--- a/celeryfold/fleet/messages.py
+++ b/celeryfold/fleet/messages.py
@@ -38,7 +38,7 @@
 from .members import Member, News
 
 
-class Probe(msgspec.Struct, frozen=True, tag="probe"):
+class Probe(msgspec.Struct, frozen=True, array_like=True, tag="probe"):
     """Ask whether a peer is alive, telling it news.
 
     :param digest: hash of the sender's records and generation.
@@ -48,7 +48,7 @@
     digest: int
 
 
-class ProbeReply(msgspec.Struct, frozen=True, tag="probe_reply"):
+class ProbeReply(msgspec.Struct, frozen=True, array_like=True, tag="probe_reply"):
     """Answer a probe with news."""
 
     news: tuple[News, ...]
@@ -56,56 +56,56 @@
     reached: bool = True
 
 
-class ProbeFor(msgspec.Struct, frozen=True, tag="probe_for"):
+class ProbeFor(msgspec.Struct, frozen=True, array_like=True, tag="probe_for"):
     """Ask a peer to probe a third instance."""
 
     address: str
 
 
-class Tell(msgspec.Struct, frozen=True, tag="tell"):
+class Tell(msgspec.Struct, frozen=True, array_like=True, tag="tell"):
     """Tell fresh news at once."""
 
     news: tuple[News, ...]
 
 
-class FetchState(msgspec.Struct, frozen=True, tag="fetch_state"):
+class FetchState(msgspec.Struct, frozen=True, array_like=True, tag="fetch_state"):
     """Ask for all that a peer knows, saying who asks."""
 
     member: Member
 
 
-class FleetState(msgspec.Struct, frozen=True, tag="fleet_state"):
+class FleetState(msgspec.Struct, frozen=True, array_like=True, tag="fleet_state"):
     """Hold all that an instance knows, as news."""
 
     news: tuple[News, ...]
 
 
-class FetchConfig(msgspec.Struct, frozen=True, tag="fetch_config"):
+class FetchConfig(msgspec.Struct, frozen=True, array_like=True, tag="fetch_config"):
     """Ask for a set of objects by its hash."""
 
     digest: str
 
 
-class ConfigReply(msgspec.Struct, frozen=True, tag="config"):
+class ConfigReply(msgspec.Struct, frozen=True, array_like=True, tag="config"):
     """Hold a set of objects, or None where the peer does not have it."""
 
     generation: Generation
     content: bytes | None
 
 
-class CheckSlot(msgspec.Struct, frozen=True, tag="check_slot"):
+class CheckSlot(msgspec.Struct, frozen=True, array_like=True, tag="check_slot"):
     """Ask whether a peer reaches a slot."""
 
     slot: SlotId
 
 
-class CheckSlotReply(msgspec.Struct, frozen=True, tag="slot_checked"):
+class CheckSlotReply(msgspec.Struct, frozen=True, array_like=True, tag="slot_checked"):
     """Tell whether a slot was reached."""
 
     reached: bool
 
 
-class FailureReply(msgspec.Struct, frozen=True, tag="failure"):
+class FailureReply(msgspec.Struct, frozen=True, array_like=True, tag="failure"):
     """Carry a request failure back to the peer that asked."""
 
     kind: ErrorKind
--- a/celeryfold/fleet/placement.py
+++ b/celeryfold/fleet/placement.py
@@ -1,105 +1,168 @@
-"""Decide by rendezvous hashing which instance does what; everyone computes the same."""
+"""Decide by rendezvous hashing which instance does what; everyone computes the same.
+
+A change of one member touches only what that member wins or held, so that the cost of a
+change grows with one place's slots and not with the fleet times the slots.
+"""
 
 from __future__ import annotations
 
-__all__ = ["Placement", "rank_guardians", "rank_homes", "rank_members"]
+__all__ = ["Placement", "find_guarded", "rank_members", "weigh"]
 
-from collections.abc import Callable, Iterable, Mapping
+from collections import defaultdict
+from collections.abc import Callable, Collection, Iterable
 
 import xxhash
 
 from ..config.objects import Catalog
-from ..kernel.ids import GroupId, PlaceId, RegionId, SlotId
+from ..kernel.ids import GroupId, InstanceId, PlaceId, SlotId
 from .members import Member
-from .membership import Membership
 
 
-def _weigh(key: str, member: Member) -> int:
-    return xxhash.xxh64_intdigest(f"{key}|{member.instance_id}".encode())
+def weigh(key: str, name: str) -> int:
+    """Return the rendezvous weight of a name for a key."""
+    return xxhash.xxh64_intdigest(f"{key}|{name}".encode())
 
 
 def rank_members(members: Iterable[Member], key: str) -> list[Member]:
     """Return members by their rendezvous weight for a key, highest first."""
-    return sorted(members, key=lambda member: _weigh(key, member), reverse=True)
-
-
-def rank_homes(
-    members: Iterable[Member],
-    key: str,
-    place: PlaceId,
-    regions: Mapping[PlaceId, RegionId],
-) -> list[Member]:
-    """Return members by how well they suit as home of a slot in a place.
+    return sorted(
+        members, key=lambda member: weigh(key, member.instance_id), reverse=True
+    )
 
-    Those in the slot's place come first, then those in its region, then the rest.
-    """
-    region = regions.get(place)
 
-    def preference(member: Member) -> tuple[bool, bool, int]:
-        is_far = regions.get(member.place) != region
-        return (member.place != place, is_far, -_weigh(key, member))
+class _Best:
+    """Hold the member of a place with the highest weight for a slot."""
 
-    return sorted(members, key=preference)
+    def __init__(self, member: Member, weight: int) -> None:
+        self.member = member
+        self.weight = weight
 
 
-def rank_guardians(
-    members: Iterable[Member],
-    key: str,
-    place: PlaceId,
-    regions: Mapping[PlaceId, RegionId],
-) -> list[Member]:
-    """Return the guardians of a group whose primary is in a place.
+class Placement:
+    """Find homes and guardians among the members that may be given work.
 
-    The second is in another place where there is one, so that the loss of one place
-    does not take both.
+    :param find_catalog: returns the configuration in force.
     """
-    ranked = rank_homes(members, key, place, regions)
-    if not ranked:
-        return []
-    first = ranked[0]
-    others = [member for member in ranked[1:] if member.place != first.place]
-    return [first, *(others or ranked[1:])[:1]]
 
-
-class Placement:
-    """Remember homes and guardians until the fleet or the configuration changes."""
-
-    def __init__(
-        self, membership: Membership, find_catalog: Callable[[], Catalog]
-    ) -> None:
-        self._membership = membership
+    def __init__(self, find_catalog: Callable[[], Catalog]) -> None:
         self._find_catalog = find_catalog
-        self._version = -1
+        self._members: dict[PlaceId, dict[InstanceId, Member]] = defaultdict(dict)
+        self._best: dict[PlaceId, dict[SlotId, _Best]] = defaultdict(dict)
+        self._places: dict[SlotId, list[PlaceId]] = {}
         self._catalog: Catalog | None = None
-        self._homes: dict[SlotId, Member | None] = {}
-        self._guardians: dict[tuple[GroupId, SlotId], list[Member]] = {}
+        self.version = 0
+
+    def add(self, member: Member) -> None:
+        """Take in a member that may be given work, or its new description."""
+        self.version += 1
+        self._members[member.place][member.instance_id] = member
+        for slot, best in self._best[member.place].items():
+            weight = weigh(slot, member.instance_id)
+            if weight >= best.weight:
+                best.member = member
+                best.weight = weight
+
+    def remove(self, member: Member) -> None:
+        """Forget a member that may be given no work any more."""
+        self.version += 1
+        self._members[member.place].pop(member.instance_id, None)
+        held = self._best[member.place]
+        lost = [
+            slot
+            for slot, best in held.items()
+            if best.member.instance_id == member.instance_id
+        ]
+        for slot in lost:
+            del held[slot]
+
+    def find_home(
+        self, slot: SlotId, avoided: Collection[InstanceId] = ()
+    ) -> Member | None:
+        """Return the instance that is home to a slot, if there is any.
+
+        :param avoided: instances that are passed over.
+        """
+        for place in self._list_places(slot):
+            best = self._find_best(slot, place)
+            if best is None:
+                continue
+            if best.instance_id not in avoided:
+                return best
+            members = self._members[place].values()
+            others = [m for m in members if m.instance_id not in avoided]
+            if others:
+                return rank_members(others, slot)[0]
+        return None
+
+    def find_guardians(self, primary: SlotId) -> list[Member]:
+        """Return the guardians of the group of a primary, the one in charge first.
+
+        The second is in another place where there is one, so that the loss of one
+        place does not take both.
+        """
+        found: list[Member] = []
+        for place in self._list_places(primary):
+            best = self._find_best(primary, place)
+            if best is not None:
+                found.append(best)
+            if len(found) == 2:
+                return found
+        for place in self._list_places(primary):
+            ranked = rank_members(self._members[place].values(), primary)
+            if ranked:
+                return ranked[:2]
+        return []
 
-    def _refresh(self) -> Catalog:
+    def is_guarded_by(self, primary: SlotId, instance: InstanceId) -> bool:
+        """Tell whether an instance is among a group's guardians."""
+        return any(m.instance_id == instance for m in self.find_guardians(primary))
+
+    def _find_best(self, slot: SlotId, place: PlaceId) -> Member | None:
+        known = self._best[place].get(slot)
+        if known is not None:
+            return known.member
+        members = self._members[place]
+        if not members:
+            return None
+        weight, name = max((weigh(slot, name), name) for name in members)
+        self._best[place][slot] = _Best(members[name], weight)
+        return members[name]
+
+    def _list_places(self, slot: SlotId) -> list[PlaceId]:
+        """Return places in the order in which a slot's home is sought.
+
+        The slot's own place comes first, then the others of its region, then the rest.
+        """
         catalog = self._find_catalog()
-        if self._version != self._membership.version or self._catalog is not catalog:
-            self._version = self._membership.version
+        if catalog is not self._catalog:
             self._catalog = catalog
-            self._homes.clear()
-            self._guardians.clear()
-        return catalog
-
-    def find_home(self, slot: SlotId) -> Member | None:
-        """Return the instance that is home to a slot, if there is any."""
-        catalog = self._refresh()
-        if slot not in self._homes:
-            place = catalog.slots[slot].place
-            members = self._membership.usable()
-            ranked = rank_homes(members, slot, place, catalog.regions)
-            self._homes[slot] = ranked[0] if ranked else None
-        return self._homes[slot]
-
-    def find_guardians(self, group: GroupId, primary: SlotId) -> list[Member]:
-        """Return the guardians of a group, the first in charge first."""
-        catalog = self._refresh()
-        key = (group, primary)
-        if key not in self._guardians:
-            place = catalog.slots[primary].place
-            members = self._membership.usable()
-            ranked = rank_guardians(members, primary, place, catalog.regions)
-            self._guardians[key] = ranked
-        return self._guardians[key]
+            self._places.clear()
+            self.version += 1
+        known = self._places.get(slot)
+        if known is None:
+            known = self._order_places(slot, catalog)
+            self._places[slot] = known
+        return known
+
+    def _order_places(self, slot: SlotId, catalog: Catalog) -> list[PlaceId]:
+        definition = catalog.slots.get(slot)
+        if definition is None:
+            return []
+        home = definition.place
+        regions = catalog.regions
+
+        def preference(place: PlaceId) -> tuple[bool, bool, int]:
+            is_far = regions[place] != regions[home]
+            return (place != home, is_far, -weigh(slot, place))
+
+        return sorted(regions, key=preference)
+
+
+def find_guarded(
+    placement: Placement, groups: Iterable[tuple[GroupId, SlotId]], me: InstanceId
+) -> list[GroupId]:
+    """Return the groups that an instance guards.
+
+    :param groups: each group with its primary.
+    """
+    return [group for group, primary in groups if placement.is_guarded_by(primary, me)]
--- a/celeryfold/fleet/rumours.py
+++ b/celeryfold/fleet/rumours.py
@@ -9,7 +9,7 @@
 from .members import News
 
 N_NEWS_A_MESSAGE = 8
-REPEAT_FACTOR = 3
+REPEAT_FACTOR = 1
 
 
 class NewsQueue:
--- a/celeryfold/groups/book.py
+++ b/celeryfold/groups/book.py
@@ -34,6 +34,7 @@
     def __init__(self) -> None:
         self._known: dict[GroupId, KnownRecord] = {}
         self._changed: dict[GroupId, trio.Event] = {}
+        self.version = 0
         self.listeners: list[Callable[[KnownRecord], None]] = []
 
     def find(self, group: GroupId) -> KnownRecord | None:
@@ -53,6 +54,7 @@
         if current is not None and current.revision >= known.revision:
             return False
         self._known[known.group] = known
+        self.version += 1
         for listener in self.listeners:
             listener(known)
         event = self._changed.pop(known.group, None)
--- a/celeryfold/groups/freshness.py
+++ b/celeryfold/groups/freshness.py
@@ -18,7 +18,7 @@
 from ..platform.slot import BatchAnswer, SlotStatus
 from .record import GroupRecord
 
-N_SAMPLES_KEPT = 64
+N_SAMPLES_KEPT = 256
 
 
 class Sample(msgspec.Struct, frozen=True):
--- a/celeryfold/groups/guardian.py
+++ b/celeryfold/groups/guardian.py
@@ -25,6 +25,7 @@
 
 PROBE_INTERVAL_S = 0.5
 SUSPECT_INTERVAL_S = 0.2
+SELDOM_INTERVAL_S = 2.0
 PROBE_TIMEOUT_S = 0.6
 STORE_TIMEOUT_S = 1.0
 SUSPECT_AFTER_S = 0.7
@@ -112,7 +113,7 @@
         return known.record.primary not in self._statuses
 
     async def _attend(self, definition: UpstreamGroup, rank: int) -> None:
-        await self._probe_all(definition)
+        await self._probe_all(definition, rank)
         known = self._book.find(self.group)
         if known is None:
             known = await self._load_or_create(definition)
@@ -131,8 +132,32 @@
         settled = trio.current_time() - self._since
         return not record.started and settled >= rank * RANK_STEP_S
 
-    async def _probe_all(self, definition: UpstreamGroup) -> None:
+    def _choose_probed(self, definition: UpstreamGroup, rank: int) -> list[SlotId]:
+        """Return the slots to probe now.
+
+        While the primary answers, a stand-in asks it alone, and slots that confirm no
+        writes are asked seldom, since they may be in another region.
+        """
+        names = [slot.name for slot in definition.slots]
+        known = self._book.find(self.group)
+        if known is None or known.record.primary not in self._statuses:
+            return names
+        if rank > 0:
+            return [known.record.primary]
+        now = trio.current_time()
+        confirming = known.record.confirming
+        eligible = self._ports.find_catalog().find_confirming(definition)
+        return [
+            name
+            for name in names
+            if name in confirming
+            or name in eligible
+            or now - self._answered_at.get(name, 0.0) >= SELDOM_INTERVAL_S
+        ]
+
+    async def _probe_all(self, definition: UpstreamGroup, rank: int) -> None:
         found: dict[SlotId, SlotStatus] = {}
+        probed = self._choose_probed(definition, rank)
 
         async def probe(slot: SlotId) -> None:
             try:
@@ -142,17 +167,18 @@
                 self._metrics.count("guardian.probe_failed")
 
         async with trio.open_nursery() as nursery:
-            for slot in definition.slots:
-                nursery.start_soon(probe, slot.name)
+            for name in probed:
+                nursery.start_soon(probe, name)
         now = trio.current_time()
-        self._statuses = found
-        for slot in definition.slots:
-            if slot.name in found:
-                self._answered_at[slot.name] = now
-                self._steady_since.setdefault(slot.name, now)
+        for name in probed:
+            if name in found:
+                self._statuses[name] = found[name]
+                self._answered_at[name] = now
+                self._steady_since.setdefault(name, now)
             else:
-                self._answered_at.setdefault(slot.name, self._since)
-                self._steady_since.pop(slot.name, None)
+                self._statuses.pop(name, None)
+                self._answered_at.setdefault(name, self._since)
+                self._steady_since.pop(name, None)
 
     async def _judge_primary(self, record: GroupRecord, rank: int) -> None:
         primary = record.primary
@@ -172,7 +198,12 @@
     def _make_view(self, definition: UpstreamGroup, rank: int) -> GroupView:
         now = trio.current_time()
         names = [slot.name for slot in definition.slots]
-        mute = {s for s in names if now - self._answered_at[s] >= MUTE_AFTER_S}
+        mute = {
+            name
+            for name in names
+            if name not in self._statuses
+            and now - self._answered_at.get(name, self._since) >= MUTE_AFTER_S
+        }
         steady = {
             slot
             for slot, since in self._steady_since.items()
@@ -214,6 +245,7 @@
         address = self._ports.find_catalog().slots[action.primary].address
         slot = self._ports.find_slot(action.slot)
         await slot.follow(action.primary, address, action.term)
+        self._answered_at[action.slot] = 0.0
         self._timeline.add(EventKind.SLOT_FOLLOWS, self.group, action.slot)
 
     async def _swap(self, known: KnownRecord, swap: Swap) -> None:
--- a/celeryfold/groups/sampling.py
+++ b/celeryfold/groups/sampling.py
@@ -16,6 +16,8 @@
 from .freshness import Sample, SampleShelf, make_sample
 
 STATUS_TIMEOUT_S = 0.6
+N_SAMPLES_AN_AGE = 8
+MIN_SAMPLE_INTERVAL_S = 0.1
 SAMPLE_TIMEOUT_S = 1.0
 
 
@@ -107,9 +109,13 @@
         self._fetching: dict[float, trio.Event] = {}
 
     def prefetch(self, accepted_age_s: float) -> None:
-        """Start to fetch a sample where the newest is half as old as is accepted."""
-        age_s = trio.current_time() - self._newest_asked_at
-        if age_s > accepted_age_s / 2:
+        """Start to fetch a sample where the newest is older than a step.
+
+        A read is judged by the oldest sample within its accepted age. The closer
+        samples follow each other, the closer that one is to the whole age.
+        """
+        step_s = max(MIN_SAMPLE_INTERVAL_S, accepted_age_s / N_SAMPLES_AN_AGE)
+        if trio.current_time() - self._newest_asked_at > step_s:
             self._nursery.start_soon(self.refresh, trio.current_time())
 
     async def refresh(self, not_before: float) -> None:
--- a/celeryfold/home/home.py
+++ b/celeryfold/home/home.py
@@ -63,7 +63,14 @@
             if definition is not None:
                 limit = definition.connection_limit
             driver = self._ports.find_slot(name)
-            self.pools[slot] = SlotPool(driver, limit, self._metrics)
+            assert self._nursery is not None
+            self.pools[slot] = SlotPool(
+                driver,
+                limit,
+                self._metrics,
+                self._nursery,
+                lambda: self._ports.is_mine(name),
+            )
         return self.pools[slot]
 
     def _find_acknowledgements(self, group: GroupId) -> Acknowledgements:
@@ -88,8 +95,8 @@
         while True:
             await trio.sleep(TEND_INTERVAL_S)
             await self.transactions.tend()
-            for slot, pool in list(self.pools.items()):
-                await pool.tend(self._ports.is_mine(SlotId(slot)))
+            for pool in list(self.pools.values()):
+                await pool.tend()
 
     async def close(self) -> None:
         """Undo open transactions and close every connection."""
--- a/celeryfold/home/messages.py
+++ b/celeryfold/home/messages.py
@@ -29,7 +29,7 @@
 from ..platform.slot import ResultSet, Statement
 
 
-class RunRead(msgspec.Struct, frozen=True, tag="read"):
+class RunRead(msgspec.Struct, frozen=True, array_like=True, tag="read"):
     """Run a read on one slot.
 
     :param accepted_age_s: how old the data may be, counted from arrival.
@@ -52,7 +52,7 @@
     weight: int = 1
 
 
-class RunWrite(msgspec.Struct, frozen=True, tag="write"):
+class RunWrite(msgspec.Struct, frozen=True, array_like=True, tag="write"):
     """Run a write on the primary, at most once where it carries a key.
 
     :param key: the caller's idempotency key, empty for none.
@@ -69,7 +69,7 @@
     weight: int = 1
 
 
-class CancelKey(msgspec.Struct, frozen=True, tag="cancel_key"):
+class CancelKey(msgspec.Struct, frozen=True, array_like=True, tag="cancel_key"):
     """Claim a key so that it can no longer run, or find its answer."""
 
     request_id: RequestId
@@ -80,7 +80,7 @@
     weight: int = 1
 
 
-class StatementAnswer(msgspec.Struct, frozen=True, tag="answer"):
+class StatementAnswer(msgspec.Struct, frozen=True, array_like=True, tag="answer"):
     """Hold the answer to a statement.
 
     :param term: term and
@@ -97,7 +97,7 @@
     replayed: bool = False
 
 
-class Begin(msgspec.Struct, frozen=True, tag="begin"):
+class Begin(msgspec.Struct, frozen=True, array_like=True, tag="begin"):
     """Open a transaction on the primary."""
 
     request_id: RequestId
@@ -109,13 +109,13 @@
     weight: int = 1
 
 
-class BeginReply(msgspec.Struct, frozen=True, tag="begun"):
+class BeginReply(msgspec.Struct, frozen=True, array_like=True, tag="begun"):
     """Name the open transaction."""
 
     transaction: TransactionId
 
 
-class RunInTransaction(msgspec.Struct, frozen=True, tag="in_transaction"):
+class RunInTransaction(msgspec.Struct, frozen=True, array_like=True, tag="run_in"):
     """Run a statement in an open transaction."""
 
     request_id: RequestId
@@ -124,7 +124,7 @@
     budget_s: float
 
 
-class Finish(msgspec.Struct, frozen=True, tag="finish"):
+class Finish(msgspec.Struct, frozen=True, array_like=True, tag="finish"):
     """Commit or roll back an open transaction."""
 
     request_id: RequestId
@@ -133,13 +133,13 @@
     budget_s: float
 
 
-class TakeSample(msgspec.Struct, frozen=True, tag="sample"):
+class TakeSample(msgspec.Struct, frozen=True, array_like=True, tag="sample"):
     """Ask the home of the primary for a sample begun after this request."""
 
     group: GroupId
 
 
-class TakeSampleReply(msgspec.Struct, frozen=True, tag="sampled"):
+class TakeSampleReply(msgspec.Struct, frozen=True, array_like=True, tag="sampled"):
     """Hold a sample; the asker dates it by its own sending."""
 
     term: Term
--- a/celeryfold/home/pool.py
+++ b/celeryfold/home/pool.py
@@ -4,6 +4,8 @@
 
 __all__ = ["Lease", "SlotPool"]
 
+from collections.abc import Callable
+
 import trio
 
 from ..exceptions import RequestFailure
@@ -15,12 +17,10 @@
 from .work import WorkHistory
 
 IDLE_CLOSE_S = 30.0
-FOREIGN_IDLE_CLOSE_S = 0.2
 CHECK_IDLE_AFTER_S = 5.0
 CHECK_TIMEOUT_S = 0.3
 REFUSED_PAUSE_S = 0.05
-N_REFUSALS_BEFORE_SHRINK = 3
-GROW_INTERVAL_S = 1.0
+GROW_PAUSE_S = 0.1
 
 
 class Lease:
@@ -47,9 +47,18 @@
     """Pool the connections of one slot and queue the work for them.
 
     :param limit: how many connections the slot allows in all.
+    :param is_mine: tells whether the slot is placed on this instance; where it is not,
+        connections are given up as soon as they are free.
     """
 
-    def __init__(self, slot: Slot, limit: int, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        slot: Slot,
+        limit: int,
+        metrics: Metrics,
+        nursery: trio.Nursery,
+        is_mine: Callable[[], bool],
+    ) -> None:
         self.slot = slot
         self.limit = limit
         self.queue = WorkQueue(limit)
@@ -57,8 +66,11 @@
         self.n_open = 0
         self._metrics = metrics
         self._idle: list[_Idle] = []
+        self._running: set[Lease] = set()
         self._epoch = 0
-        self._grown_at = 0.0
+        self._nursery = nursery
+        self._is_mine = is_mine
+        self._is_growing = False
 
     async def acquire(
         self, service: ServiceId, weight: int, shape: str, deadline: float
@@ -67,6 +79,8 @@
 
         :raises RequestFailure: where no connection can be had in time.
         """
+        if self.queue.n_waiting:
+            self._age_running()
         lane = self.history.find_lane(shape)
         cost_s = self.history.expect_s(shape)
         ticket = Ticket(service, weight, lane, cost_s, deadline)
@@ -87,18 +101,32 @@
         except BaseException:
             self.queue.release(ticket)
             raise
-        return Lease(connection, ticket, trio.current_time())
+        lease = Lease(connection, ticket, trio.current_time())
+        self._running.add(lease)
+        return lease
+
+    def _age_running(self) -> None:
+        """Count work that has run for long as long, whatever was expected of it."""
+        now = trio.current_time()
+        for lease in self._running:
+            if self.history.is_long(now - lease.began):
+                self.queue.move_to_long(lease.ticket)
 
     async def release(self, lease: Lease, shape: str = "") -> None:
         """Take a connection back; a broken one is closed."""
+        self._running.discard(lease)
         if shape:
             self.history.record(shape, trio.current_time() - lease.began)
-        if lease.is_broken:
-            self.suspect_idle()
-            await self._close(lease.connection)
-        else:
-            self._idle.append(_Idle(lease.connection, self._epoch))
-        self.queue.release(lease.ticket)
+        try:
+            if lease.is_broken:
+                self.suspect_idle()
+                await self._close(lease.connection)
+            elif self.queue.n_waiting or self._is_mine():
+                self._idle.append(_Idle(lease.connection, self._epoch))
+            else:
+                await self._close(lease.connection)
+        finally:
+            self.queue.release(lease.ticket)
 
     def suspect_idle(self) -> None:
         """Check every idle connection before its next use.
@@ -128,54 +156,54 @@
         return not scope.cancelled_caught
 
     async def _open(self, deadline: float) -> Connection:
-        n_refused = 0
         with trio.move_on_at(deadline):
             while True:
-                self.n_open += 1
                 try:
-                    connection = await self.slot.connect()
-                except BaseException as error:
-                    self.n_open -= 1
-                    if not isinstance(error, ConnectionRefused):
-                        self._raise_unreachable(error)
-                    n_refused += 1
-                    self._metrics.count("home.connection_refused")
-                    self._shrink(n_refused)
+                    return await self._connect()
+                except ConnectionRefused:
+                    self._yield_places()
                     await trio.sleep(REFUSED_PAUSE_S)
-                    continue
-                self._metrics.count("home.connection_opened")
-                self._grow()
-                return connection
+                except SlotUnreachable as error:
+                    raise RequestFailure(ErrorKind.NOT_RUN, str(error)) from error
         text = "the slot has no connection to spare"
         raise RequestFailure(ErrorKind.OVERLOADED, text)
 
-    @staticmethod
-    def _raise_unreachable(error: BaseException) -> None:
-        if isinstance(error, SlotUnreachable):
-            raise RequestFailure(ErrorKind.NOT_RUN, str(error)) from error
-        raise error
-
-    def _shrink(self, n_refused: int) -> None:
-        if n_refused >= N_REFUSALS_BEFORE_SHRINK and self.queue.n_places > 1:
-            self.queue.resize(max(1, self.n_open))
-            self._grown_at = trio.current_time()
-
-    def _grow(self) -> None:
-        now = trio.current_time()
-        if self.queue.n_places < self.limit and now - self._grown_at > GROW_INTERVAL_S:
-            self._grown_at = now
-            self.queue.resize(min(self.limit, 2 * self.queue.n_places))
-
-    async def tend(self, is_mine: bool) -> None:
-        """Close connections that have rested for long.
-
-        :param is_mine: whether the slot is placed on this instance; where it is not,
-            connections are given up soon.
-        """
+    async def _connect(self) -> Connection:
+        try:
+            connection = await self.slot.connect()
+        except ConnectionRefused:
+            self._metrics.count("home.connection_refused")
+            raise
+        self.n_open += 1
+        self._metrics.count("home.connection_opened")
+        return connection
+
+    def _yield_places(self) -> None:
+        """Work with the connections there are; others hold the rest of the limit."""
+        self.queue.resize(max(1, self.n_open))
+        if not self._is_growing:
+            self._is_growing = True
+            self._nursery.start_soon(self._grow)
+
+    async def _grow(self) -> None:
+        """Take connections over as others give them up."""
+        try:
+            while self.queue.n_places < self.limit and self._is_mine():
+                try:
+                    connection = await self._connect()
+                except (ConnectionRefused, SlotUnreachable):
+                    await trio.sleep(GROW_PAUSE_S)
+                    continue
+                self._idle.append(_Idle(connection, self._epoch))
+                self.queue.resize(min(self.limit, max(1, self.n_open)))
+        finally:
+            self._is_growing = False
+            self.queue.resize(self.limit)
+
+    async def tend(self) -> None:
+        """Close connections that have rested for long."""
         now = trio.current_time()
-        keep_s = IDLE_CLOSE_S if is_mine else FOREIGN_IDLE_CLOSE_S
-        if is_mine:
-            self._grow()
+        keep_s = IDLE_CLOSE_S if self._is_mine() else 0.0
         old = [idle for idle in self._idle if now - idle.since >= keep_s]
         self._idle = [idle for idle in self._idle if now - idle.since < keep_s]
         for idle in old:
--- a/celeryfold/home/queue.py
+++ b/celeryfold/home/queue.py
@@ -4,8 +4,8 @@
 
 __all__ = ["Ticket", "WorkQueue"]
 
-import heapq
-import itertools
+import math
+from collections import deque
 
 import trio
 
@@ -15,8 +15,11 @@
 from .work import Lane
 
 LONG_SHARE = 0.25
+SHORT_HEADROOM = 1.5
+PEAK_FADES_S = 5.0
 MIN_RETRY_AFTER_S = 0.05
-WAIT_MARGIN = 1.0
+WAIT_SHARE = 0.5
+COST_MARGIN = 1.5
 
 
 class Ticket:
@@ -46,15 +49,17 @@
 
 class _ServiceLine:
     def __init__(self) -> None:
-        self.heap: list[tuple[float, int, Ticket]] = []
+        self.tickets: deque[Ticket] = deque()
         self.virtual_s = 0.0
+        self.waiting_s = 0.0
 
 
 class WorkQueue:
     """Grant places to tickets: as many at once as there are connections.
 
     Between services, the one that has used least of its share goes first; within a
-    service, the earliest deadline. Long work takes at most a share of the places.
+    service, the first to come, so that the wait expected at arrival holds. Long work
+    leaves the places that short work needs.
     """
 
     def __init__(self, n_places: int) -> None:
@@ -62,10 +67,11 @@
         self.n_running = 0
         self.n_running_long = 0
         self._lines: dict[tuple[Lane, ServiceId], _ServiceLine] = {}
-        self._numbers = itertools.count()
         self._virtual_s = 0.0
         self._waiting_s = {Lane.SHORT: 0.0, Lane.LONG: 0.0}
         self._n_waiting = 0
+        self._peak = 0.0
+        self._peak_at = 0.0
 
     @property
     def n_waiting(self) -> int:
@@ -74,8 +80,22 @@
 
     @property
     def n_long_places(self) -> int:
-        """How many places long work may take at once."""
-        return max(1, int(self.n_places * LONG_SHARE))
+        """How many places long work may take at once.
+
+        Always a share, and what short work has not needed of late.
+        """
+        kept = math.ceil(self._short_peak() * SHORT_HEADROOM) + 1
+        return max(1, int(self.n_places * LONG_SHARE), self.n_places - kept)
+
+    def _short_peak(self) -> float:
+        """Return how many places short work took at its recent most."""
+        n_short = self.n_running - self.n_running_long
+        now = trio.current_time()
+        faded = self._peak * math.exp((self._peak_at - now) / PEAK_FADES_S)
+        if n_short >= faded:
+            self._peak = n_short
+            self._peak_at = now
+        return max(n_short, faded)
 
     def expect_wait_s(self, lane: Lane, service: ServiceId, weight: int) -> float:
         """Return how long a new ticket of a service would wait, in seconds."""
@@ -85,7 +105,7 @@
         if lane is Lane.LONG:
             n_places = self.n_long_places
         line = self._lines.get((lane, service))
-        own_s = sum(ticket.cost_s for _, _, ticket in line.heap) if line else 0.0
+        own_s = line.waiting_s if line else 0.0
         share = weight / self._sum_weights(lane, service, weight)
         fair_wait_s = own_s / (n_places * share)
         return min(fair_wait_s, self._waiting_s[lane] / n_places)
@@ -93,8 +113,8 @@
     def _sum_weights(self, lane: Lane, service: ServiceId, weight: int) -> int:
         total = weight
         for (line_lane, name), line in self._lines.items():
-            if line_lane is lane and name != service and line.heap:
-                total += line.heap[0][2].weight
+            if line_lane is lane and name != service and line.tickets:
+                total += line.tickets[0].weight
         return total
 
     def _has_free_place(self, lane: Lane) -> bool:
@@ -105,11 +125,15 @@
     def admit(self, ticket: Ticket) -> None:
         """Take a ticket in, or refuse it at once where it could not be in time.
 
+        The expected wait may take a share of the slack only: the estimate errs, and
+        work that ends late has wasted its place.
+
         :raises RequestFailure: with the time after which a retry is worth while.
         """
         now = trio.current_time()
         wait_s = self.expect_wait_s(ticket.lane, ticket.service, ticket.weight)
-        late_s = now + WAIT_MARGIN * wait_s + ticket.cost_s - ticket.deadline
+        slack_s = ticket.deadline - now - ticket.cost_s
+        late_s = wait_s - WAIT_SHARE * slack_s
         if late_s > 0 and wait_s > 0:
             raise RequestFailure(
                 ErrorKind.OVERLOADED,
@@ -118,10 +142,10 @@
             )
         key = (ticket.lane, ticket.service)
         line = self._lines.setdefault(key, _ServiceLine())
-        if not line.heap:
+        if not line.tickets:
             line.virtual_s = max(line.virtual_s, self._virtual_s)
-        entry = (ticket.deadline, next(self._numbers), ticket)
-        heapq.heappush(line.heap, entry)
+        line.tickets.append(ticket)
+        line.waiting_s += ticket.cost_s
         self._waiting_s[ticket.lane] += ticket.cost_s
         self._n_waiting += 1
         self._grant()
@@ -151,13 +175,12 @@
         line = self._lines.get((ticket.lane, ticket.service))
         if line is None:
             return
-        kept = [entry for entry in line.heap if entry[2] is not ticket]
-        if len(kept) < len(line.heap):
-            heapq.heapify(kept)
-            line.heap = kept
-            self._forget_waiting(ticket)
+        if ticket in line.tickets:
+            line.tickets.remove(ticket)
+            self._forget_waiting(line, ticket)
 
-    def _forget_waiting(self, ticket: Ticket) -> None:
+    def _forget_waiting(self, line: _ServiceLine, ticket: Ticket) -> None:
+        line.waiting_s -= ticket.cost_s
         self._waiting_s[ticket.lane] -= ticket.cost_s
         self._n_waiting -= 1
 
@@ -180,13 +203,13 @@
         lines = [
             line
             for (line_lane, _), line in self._lines.items()
-            if line_lane is lane and line.heap
+            if line_lane is lane and line.tickets
         ]
         if not lines:
             return None
         line = min(lines, key=lambda item: item.virtual_s)
-        _, _, ticket = heapq.heappop(line.heap)
-        self._forget_waiting(ticket)
+        ticket = line.tickets.popleft()
+        self._forget_waiting(line, ticket)
         self._virtual_s = line.virtual_s
         line.virtual_s += ticket.cost_s / ticket.weight
         if self._is_too_late(ticket):
@@ -196,8 +219,11 @@
         ticket.holds_place = True
         self.n_running += 1
         self.n_running_long += lane is Lane.LONG
+        if lane is Lane.SHORT:
+            self._short_peak()
         return ticket
 
     @staticmethod
     def _is_too_late(ticket: Ticket) -> bool:
-        return trio.current_time() + ticket.cost_s > ticket.deadline
+        needed_s = COST_MARGIN * ticket.cost_s
+        return trio.current_time() + needed_s > ticket.deadline
--- a/celeryfold/home/reads.py
+++ b/celeryfold/home/reads.py
@@ -53,7 +53,8 @@
     async def run(self, request: RunRead) -> StatementAnswer:
         """Run one read, waiting a little for the slot to catch up.
 
-        :raises RequestFailure: ``too_stale`` where the slot is too far behind.
+        :raises RequestFailure: ``too_stale`` or ``not_caught_up`` where the slot is
+            too far behind.
         """
         arrived = trio.current_time()
         deadline = arrived + request.budget_s
@@ -65,7 +66,8 @@
         step_s = CATCH_UP_STEP_S
         while True:
             answer = await self._execute(request, deadline)
-            if await self._is_fresh(request, answer, arrived, deadline):
+            shortfall = await self._find_shortfall(request, answer, arrived, deadline)
+            if shortfall is None:
                 return StatementAnswer(
                     request.request_id,
                     answer.results[0],
@@ -74,9 +76,9 @@
                     request.slot,
                 )
             if trio.current_time() + step_s > give_up_at:
-                self._metrics.count("home.too_stale")
+                self._metrics.count(f"home.{shortfall.value}")
                 text = f"{request.slot} is behind what was asked for"
-                raise RequestFailure(ErrorKind.TOO_STALE, text)
+                raise RequestFailure(shortfall, text)
             await trio.sleep(step_s)
             step_s *= 2
 
@@ -96,18 +98,21 @@
         finally:
             await pool.release(lease, shape)
 
-    async def _is_fresh(
+    async def _find_shortfall(
         self, request: RunRead, answer: BatchAnswer, arrived: float, deadline: float
-    ) -> bool:
+    ) -> ErrorKind | None:
+        """Return in which way an answer is not good enough, or None."""
         if not includes(answer, request.seen_term, request.seen_position):
-            return False
+            return ErrorKind.NOT_CAUGHT_UP
         desk = self._find_desk(request.group)
         not_before = arrived - request.accepted_age_s
         if desk.shelf.find(not_before) is None:
             with trio.move_on_at(deadline):
                 await desk.refresh(not_before)
         is_primary = self._is_primary(request.group, request.slot, answer.term)
-        return desk.shelf.vouches(answer, not_before, is_primary)
+        if desk.shelf.vouches(answer, not_before, is_primary):
+            return None
+        return ErrorKind.TOO_STALE
 
     def _is_primary(self, group: GroupId, slot: SlotId, term: Term) -> bool:
         known = self._book.find(group)
--- a/celeryfold/instance.py
+++ b/celeryfold/instance.py
@@ -13,7 +13,7 @@
 import trio
 
 from .config.adoption import Configuration
-from .config.objects import Catalog, SlotDefinition
+from .config.objects import Catalog, SlotDefinition, UpstreamGroup
 from .entry.entry import Entry, EntryPorts
 from .entry.router import Router
 from .entry.sessions import SessionTokens
@@ -23,7 +23,7 @@
 from .fleet.members import Member, SlotNews
 from .fleet.membership import Membership
 from .fleet.messages import CheckSlot, CheckSlotReply
-from .fleet.placement import Placement
+from .fleet.placement import Placement, find_guarded
 from .fleet.watching import Watcher
 from .groups.book import KnownRecord, RecordBook
 from .groups.freshness import Sample
@@ -96,15 +96,15 @@
             me.address, self.configuration, self.book, platform.store, link, timeline
         )
         self.membership = Membership(me, link, self.knowledge, timeline, metrics)
-        self.placement = Placement(self.membership, self.find_catalog)
+        self.placement = Placement(self.find_catalog)
+        self.membership.watch(self.placement)
         self.watcher = Watcher(platform, self.membership, self.knowledge, timeline)
         self.home = Home(self, self.book, metrics)
         router = Router(
             me.place,
             self.find_catalog,
             self.find_leaving,
-            self.membership.usable,
-            self.placement.find_home,
+            self.placement,
             self.book,
         )
         self.entry = Entry(
@@ -131,10 +131,10 @@
         """Join the fleet and take up all roles."""
         self._nursery = nursery
         self.timeline.add(EventKind.INSTANCE_STARTED, self.instance_id)
+        await self.home.start(nursery)
         await self.knowledge.start(nursery, self.membership)
         await self.watcher.start(nursery)
         await self.membership.start(nursery)
-        await self.home.start(nursery)
         nursery.start_soon(self._guard)
 
     async def leave(self, drain_s: float) -> None:
@@ -200,16 +200,19 @@
         definition = self.find_catalog().groups.get(group)
         if definition is None:
             return None
-        known = self.book.find(group)
-        primary = known.record.primary if known else definition.slots[0].name
-        if primary not in self.find_catalog().slots:
-            primary = definition.slots[0].name
-        guardians = self.placement.find_guardians(group, primary)
+        guardians = self.placement.find_guardians(self._find_primary(definition))
         for rank, member in enumerate(guardians):
             if member.instance_id == self.instance_id:
                 return rank
         return None
 
+    def _find_primary(self, definition: UpstreamGroup) -> SlotId:
+        """Return the primary of a group, or the slot that is to be its first."""
+        known = self.book.find(definition.name)
+        if known is not None and known.record.primary in self.find_catalog().slots:
+            return known.record.primary
+        return definition.slots[0].name
+
     async def send(
         self, home: Member, message: msgspec.Struct, timeout_s: float
     ) -> Any:
@@ -292,14 +295,29 @@
 
     async def _guard(self) -> None:
         assert self._nursery is not None
+        seen: tuple[int, int, int] | None = None
         while True:
-            for group in self.find_catalog().groups:
-                if group not in self._guarded and self.find_rank(group) is not None:
-                    self._guarded.add(group)
-                    self._nursery.start_soon(self._guard_group, group)
+            current = (
+                self.placement.version,
+                self.book.version,
+                self.configuration.generation,
+            )
+            if current != seen:
+                seen = current
+                self._guard_what_is_mine(self._nursery)
             with trio.move_on_after(GUARD_INTERVAL_S):
                 await self.configuration.wait_adoption()
 
+    def _guard_what_is_mine(self, nursery: trio.Nursery) -> None:
+        groups = [
+            (definition.name, self._find_primary(definition))
+            for definition in self.find_catalog().groups.values()
+        ]
+        for group in find_guarded(self.placement, groups, self.instance_id):
+            if group not in self._guarded:
+                self._guarded.add(group)
+                nursery.start_soon(self._guard_group, group)
+
     async def _guard_group(self, group: GroupId) -> None:
         guardian = Guardian(
             group, self, self.platform.store, self.book, self.timeline, self.metrics
--- a/celeryfold/kernel/errors.py
+++ b/celeryfold/kernel/errors.py
@@ -33,6 +33,7 @@
     NOT_RUN = "not_run"
     NO_PRIMARY = "no_primary"
     TOO_STALE = "too_stale"
+    NOT_CAUGHT_UP = "not_caught_up"
     SHUTTING_DOWN = "shutting_down"
     OUTCOME_UNKNOWN = "outcome_unknown"
     CONFLICT = "conflict"
@@ -70,6 +71,7 @@
     ErrorKind.NOT_RUN: Answer(503, Ran.NO, 0.2),
     ErrorKind.NO_PRIMARY: Answer(503, Ran.NO, 1.0),
     ErrorKind.TOO_STALE: Answer(503, Ran.NO, 0.5),
+    ErrorKind.NOT_CAUGHT_UP: Answer(503, Ran.NO, 0.2),
     ErrorKind.SHUTTING_DOWN: Answer(503, Ran.NO, 0.1),
     ErrorKind.OUTCOME_UNKNOWN: Answer(504, Ran.UNKNOWN, 0.5),
     ErrorKind.CONFLICT: Answer(409, Ran.NO),
--- a/celeryfold/platform/http_slot.py
+++ b/celeryfold/platform/http_slot.py
@@ -12,6 +12,7 @@
 import trio
 
 from ..kernel.ids import Position, SlotId, Term
+from ..kernel.metrics import Metrics
 from ..wire.client import HttpChannel, HttpClient, Unanswered, Unreachable
 from ..wire.messages import HttpResponse
 from .requests import ExecuteBody, FollowBody, PromoteBody, Refusal, RefusalKind
@@ -105,12 +106,19 @@
     """
 
     def __init__(
-        self, slot_id: SlotId, address: str, tls: ssl.SSLContext | None = None
+        self,
+        slot_id: SlotId,
+        address: str,
+        tls: ssl.SSLContext | None = None,
+        metrics: Metrics | None = None,
     ) -> None:
         self.slot_id = slot_id
         self.address = address
         self._tls = tls
-        self._control = HttpClient(address, tls)
+        known = metrics or Metrics()
+        self._control = HttpClient(
+            address, tls, lambda n_bytes: known.count("slot.control_bytes", n_bytes)
+        )
 
     async def connect(self) -> Connection:
         """Open a counted connection."""
--- a/celeryfold/platform/http_store.py
+++ b/celeryfold/platform/http_store.py
@@ -23,8 +23,10 @@
     """The key-value service over HTTP; counts each call by kind."""
 
     def __init__(self, address: str, metrics: Metrics | None = None) -> None:
-        self._client = HttpClient(address)
-        self._metrics = metrics or Metrics()
+        known = self._metrics = metrics or Metrics()
+        self._client = HttpClient(
+            address, None, lambda n_bytes: known.count("store.bytes", n_bytes)
+        )
 
     async def get(self, key: str) -> StoreEntry | None:
         """Return an entry, or None where the key is absent."""
--- a/celeryfold/standins/local.py
+++ b/celeryfold/standins/local.py
@@ -82,6 +82,11 @@
     return answers[0]
 
 
+def measure_message(message: Any) -> int:
+    """Return the size of a message in bytes."""
+    return len(msgspec.msgpack.encode(message))
+
+
 class LocalConnection(Connection):
     """A counted connection to a slot engine."""
 
@@ -93,7 +98,9 @@
         self._n_silences = self._engine.faults.n_silences
         self._is_broken = False
 
-    async def _call(self, serve: Callable[[], Awaitable[T]]) -> T:
+    async def _call(
+        self, serve: Callable[[], Awaitable[T]], cause: str = "statement.end"
+    ) -> T:
         if self._is_broken:
             raise AnswerLost("the connection is closed")
         self._is_broken = True
@@ -106,7 +113,11 @@
         slot = self._engine.shape.slot_id
         try:
             answer = await self._network.call(
-                self._me, slot, "statement", serve_unless_silent
+                self._me,
+                slot,
+                cause,
+                serve_unless_silent,
+                measure=measure_message,
             )
         except CeleryfoldError as error:
             self._is_broken = isinstance(error, AnswerLost)
@@ -122,8 +133,10 @@
         commit: bool = False,
     ) -> BatchAnswer:
         """Run a batch."""
+        reads = all(item.text.startswith("SELECT") for item in statements)
+        cause = "statement.read" if reads else "statement.write"
         return await self._call(
-            lambda: self._session.execute(statements, begin, commit)
+            lambda: self._session.execute(statements, begin, commit), cause
         )
 
     async def rollback(self) -> None:
@@ -223,6 +236,7 @@
                     self._engine.shape.slot_id,
                     "replication",
                     lambda: self._engine.fetch_log(after, after_term, wait_s),
+                    measure=measure_message,
                 )
         except trio.TooSlowError as error:
             raise SlotUnreachable("the primary gives no log") from error
@@ -338,7 +352,7 @@
         try:
             with trio.fail_after(timeout_s):
                 return await self._network.call(
-                    self._me, address, cause, serve, (n_bytes, 200)
+                    self._me, address, cause, serve, n_bytes, measure_message
                 )
         except trio.TooSlowError as error:
             raise PeerUnreachable(f"{address} does not reply") from error
--- a/celeryfold/standins/network.py
+++ b/celeryfold/standins/network.py
@@ -19,6 +19,7 @@
 BETWEEN_PLACES_S = 0.0005
 BETWEEN_REGIONS_S = 0.030
 REGION_LINK_BITS_A_SECOND = 15_000_000
+SMALL_MESSAGE_BYTES = 150
 
 
 @dataclass(frozen=True)
@@ -132,22 +133,27 @@
         other: str,
         cause: str,
         serve: Callable[[], Awaitable[T]],
-        sizes: tuple[int, int] = (200, 200),
+        n_bytes: int = SMALL_MESSAGE_BYTES,
+        measure: Callable[[T], int] | None = None,
     ) -> T:
         """Run `serve` at the far end and return what it returns, or raise the same.
 
-        :param sizes: bytes of the request and of the answer.
+        :param n_bytes: size of the request.
+        :param measure: returns the size of the answer.
         """
         outcome: _Outcome[T] = _Outcome()
         self.n_calls[cause] += 1
 
         async def run() -> None:
-            await self.travel(one, other, cause, sizes[0])
+            await self.travel(one, other, cause, n_bytes)
+            n_bytes_back = SMALL_MESSAGE_BYTES
             try:
                 outcome.value = await serve()
+                if measure is not None and self.crosses_regions(one, other):
+                    n_bytes_back += measure(outcome.value)
             except Exception as error:
                 outcome.error = error
-            await self.travel(other, one, cause, sizes[1])
+            await self.travel(other, one, cause, n_bytes_back)
             outcome.done.set()
 
         self._nursery.start_soon(run)
--- /dev/null
+++ b/celeryfold/tests/test_instance.py
@@ -0,0 +1,59 @@
+"""An instance serves, or refuses clearly, from its first moment."""
+
+from __future__ import annotations
+
+import trio
+
+from celeryfold.bench.crowd import SERVICE, make_small_world
+from celeryfold.bench.world import World, run_world
+from celeryfold.exceptions import RequestFailure
+from celeryfold.home.messages import RunRead
+from celeryfold.kernel.errors import ErrorKind
+from celeryfold.kernel.ids import (
+    GroupId,
+    InstanceId,
+    PlaceId,
+    Position,
+    RequestId,
+    SlotId,
+    Term,
+)
+from celeryfold.platform.slot import Statement
+
+
+def make_read() -> RunRead:
+    """Return a read as a peer sends it."""
+    statement = Statement("SELECT 1")
+    seen = (Term(0), Position(0))
+    return RunRead(
+        RequestId("r"),
+        SERVICE,
+        GroupId("g1"),
+        SlotId("g1-a"),
+        statement,
+        5.0,
+        *seen,
+        0.0,
+        1.0,
+    )
+
+
+def test_requests_during_the_start_are_refused_not_broken():
+    async def use(world: World) -> list[ErrorKind]:
+        world.list.faults.set_paused(True)
+        world.store.faults.set_paused(True)
+        kinds: list[ErrorKind] = []
+
+        async def ask() -> None:
+            await trio.sleep(0.01)
+            try:
+                await world.links["i1"].request("late", make_read(), 2.0)
+            except RequestFailure as failure:
+                kinds.append(failure.kind)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await world.start_instance(InstanceId("late"), PlaceId("a1"))
+        return kinds
+
+    assert run_world(make_small_world(), use) == [ErrorKind.NOT_RUN]
--- a/celeryfold/tests/test_mechanisms.py
+++ b/celeryfold/tests/test_mechanisms.py
@@ -101,9 +101,9 @@
     crowd = Crowd(world)
     far = crowd.make_caller("far", random.Random(1))
     far_door = next(door for door in world.make_doors() if door.name == "i4")
-    far._doors = [far_door]
+    far.use_doors([far_door])
     near = crowd.make_caller("near", random.Random(2))
-    near._doors = [door for door in world.make_doors() if door.name != "i4"]
+    near.use_doors([door for door in world.make_doors() if door.name != "i4"])
     owner = make_owner(crowd, "g2")
 
     async def write_on(caller, n_writes: int) -> None:
--- a/celeryfold/wire/client.py
+++ b/celeryfold/wire/client.py
@@ -5,6 +5,7 @@
 __all__ = ["HttpChannel", "HttpClient", "Unanswered", "Unreachable", "split_address"]
 
 import ssl
+from collections.abc import Callable
 
 import h11
 import trio
@@ -42,6 +43,7 @@
         self.address = address
         self.usable = False
         self.idle_since = 0.0
+        self.n_bytes = 0
         self._tls = tls
         self._stream: trio.abc.Stream | None = None
         self._parser = h11.Connection(h11.CLIENT)
@@ -74,8 +76,10 @@
             self.usable = False
             raise Unreachable(f"{self.address} ended the connection or sent too much")
         self.usable = False
+        data = self._encode(method, path, body)
+        self.n_bytes += len(data)
         try:
-            await self._stream.send_all(self._encode(method, path, body))
+            await self._stream.send_all(data)
             response = await self._read_response(self._stream)
         except (OSError, trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise Unanswered(f"{self.address} broke the connection") from error
@@ -118,6 +122,7 @@
             event = self._parser.next_event()
             if event is h11.NEED_DATA:
                 data = await stream.receive_some(READ_BYTES)
+                self.n_bytes += len(data)
                 self._parser.receive_data(bytes(data))
             elif isinstance(event, h11.Response):
                 status = event.status_code
@@ -137,10 +142,19 @@
 
 
 class HttpClient:
-    """Send requests to one server over a few kept connections."""
+    """Send requests to one server over a few kept connections.
 
-    def __init__(self, address: str, tls: ssl.SSLContext | None = None) -> None:
+    :param count_bytes: told how many bytes each request and its answer took.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        tls: ssl.SSLContext | None = None,
+        count_bytes: Callable[[int], None] | None = None,
+    ) -> None:
         self.address = address
+        self._count_bytes = count_bytes
         self._tls = tls
         self._idle: list[HttpChannel] = []
 
@@ -151,8 +165,11 @@
         :raises Unanswered: where the outcome is not known.
         """
         channel = await self._take()
+        n_bytes_before = channel.n_bytes
         try:
             response = await channel.request(method, path, body)
+            if self._count_bytes is not None:
+                self._count_bytes(channel.n_bytes - n_bytes_before)
         except BaseException:
             with trio.CancelScope(shield=True):
                 await channel.close()
