Tell a caller that a keyed write may have run when any of its tries may have

Ruled out: the home. Each single refusal of it was true of its own try.

Conclusion: only a cancelled or a reused key is definite after an unknown try.

--- a/celeryfold/entry/entry.py
+++ b/celeryfold/entry/entry.py
@@ -69,6 +69,7 @@
     ErrorKind.INTERNAL,
 }
 _RETRY_WRITE = {ErrorKind.NO_PRIMARY, ErrorKind.NOT_RUN, ErrorKind.SHUTTING_DOWN}
+_DEFINITE = {ErrorKind.KEY_CANCELLED, ErrorKind.KEY_REUSED}
 
 
 class EntryPorts(ABC):
@@ -260,8 +261,12 @@
     async def _repeat(
         self, group: GroupId, make_message: Any, deadline: float, is_idempotent: bool
     ) -> Any:
-        """Send to the primary's home until answered, or until a retry is no use."""
+        """Send to the primary's home until answered, or until a retry is no use.
+
+        Once one try may have run, a later refusal says nothing of that one.
+        """
         pause_s = RETRY_PAUSE_S
+        may_have_run = False
         while True:
             budget_s = deadline - trio.current_time()
             if is_idempotent:
@@ -269,11 +274,15 @@
             try:
                 return await self._send_to_primary(group, make_message(budget_s))
             except RequestFailure as failure:
+                is_unknown = ANSWERS[failure.kind].ran is Ran.UNKNOWN
+                may_have_run = may_have_run or is_unknown
                 can_retry = failure.kind in _RETRY_WRITE or (
-                    is_idempotent and ANSWERS[failure.kind].ran is Ran.UNKNOWN
+                    is_idempotent and is_unknown
                 )
                 is_time_left = trio.current_time() + pause_s < deadline
                 if not can_retry or not is_time_left or not self._budget.take():
+                    if may_have_run and failure.kind not in _DEFINITE:
+                        raise _make_unknown(failure) from failure
                     raise
                 self._metrics.count(f"entry.write_again.{failure.kind.value}")
             with trio.move_on_after(pause_s):
@@ -392,6 +401,13 @@
             raise RequestFailure(kind, str(error)) from error
 
 
+def _make_unknown(failure: RequestFailure) -> RequestFailure:
+    if failure.kind is ErrorKind.OUTCOME_UNKNOWN:
+        return failure
+    text = f"an earlier try may have run; the last one: {failure.message}"
+    return RequestFailure(ErrorKind.OUTCOME_UNKNOWN, text, failure.retry_after_s)
+
+
 def _find_budget_s(service: Service, deadline_ms: int | None) -> float:
     if deadline_ms is None:
         return service.deadline_ms / 1000.0
--- /dev/null
+++ b/celeryfold/entry/tests/test_entry.py
@@ -0,0 +1,64 @@
+"""What an entry tells its caller after several tries."""
+
+from __future__ import annotations
+
+import itertools
+
+import pytest
+import trio
+
+from celeryfold.bench.crowd import SERVICE, SMALL_WORKLOAD, Crowd, make_small_world
+from celeryfold.bench.world import World, run_world
+from celeryfold.entry.requests import Mode, StatementRequest
+from celeryfold.exceptions import RequestFailure
+from celeryfold.home.writes import Writer
+from celeryfold.kernel.errors import ErrorKind
+
+pytestmark = pytest.mark.proof
+
+
+def write_with_failures(kinds: list[ErrorKind], monkeypatch) -> ErrorKind:
+    """Send a keyed write whose tries fail in turn; return what the caller is told."""
+    failures = itertools.chain(kinds, itertools.repeat(kinds[-1]))
+
+    async def fail(self, request):
+        await trio.sleep(0.01)
+        raise RequestFailure(next(failures), "as told")
+
+    monkeypatch.setattr(Writer, "run", fail)
+
+    async def use(world: World) -> ErrorKind:
+        crowd = Crowd(world)
+        owners = (f"owner-{n}" for n in itertools.count())
+        owner = next(o for o in owners if crowd.find_group(o) == "g1")
+        request = StatementRequest(
+            SMALL_WORKLOAD.insert,
+            ("m", owner, ""),
+            key=owner,
+            mode=Mode.WRITE,
+            idempotency_key="k",
+        )
+        entry = next(iter(world.instances.values())).entry
+        with pytest.raises(RequestFailure) as caught:
+            await entry.run_statement(SERVICE, request)
+        return caught.value.kind
+
+    return run_world(make_small_world(), use)
+
+
+@pytest.mark.parametrize(
+    "last", [ErrorKind.OVERLOADED, ErrorKind.NOT_RUN, ErrorKind.STATEMENT_FAILED]
+)
+def test_a_refusal_after_an_unknown_try_is_unknown(last, monkeypatch):
+    kinds = [ErrorKind.OUTCOME_UNKNOWN, last]
+    assert write_with_failures(kinds, monkeypatch) is ErrorKind.OUTCOME_UNKNOWN
+
+
+def test_a_cancelled_key_is_definite_after_an_unknown_try(monkeypatch):
+    kinds = [ErrorKind.OUTCOME_UNKNOWN, ErrorKind.KEY_CANCELLED]
+    assert write_with_failures(kinds, monkeypatch) is ErrorKind.KEY_CANCELLED
+
+
+def test_a_refusal_alone_stays_a_refusal(monkeypatch):
+    kinds = [ErrorKind.NO_PRIMARY, ErrorKind.OVERLOADED]
+    assert write_with_failures(kinds, monkeypatch) is ErrorKind.OVERLOADED
