Cut published sets into parts, so that a change moves kilobytes and not the whole set

Ruled out: compression, which leaves the volume of each change; a log of changes, which a late joiner would have to replay.

Now: parts by hash of the objects' names, a manifest of part hashes, a pointer to the manifest. Instances fetch the parts that they lack, eight at once, and check each against its hash.

Parts that no set uses any more stay in the store.

--- a/celeryfold/bench/state.py
+++ b/celeryfold/bench/state.py
@@ -16,7 +16,7 @@
 
 from ..config.adoption import Configuration
 from ..config.objects import ObjectSet
-from ..config.publishing import encode_set, make_digest
+from ..config.parts import split_set
 from ..fleet.knowledge import Knowledge
 from ..fleet.members import Member
 from ..fleet.membership import Membership
@@ -154,16 +154,14 @@
     async with trio.open_nursery() as nursery:
         holder = _Holder(nursery, n_members, n_groups)
         objects = make_objects(n_groups)
-        content, encode_s = _time(partial(encode_set, objects))
+        split, split_s = _time(partial(split_set, objects))
         del objects
-        digest = make_digest(content)
-
-        def adopt() -> bool:
-            return holder.configuration.adopt(Generation(1), digest, content)
-
-        _, adopt_s = _time(adopt)
-        holder.configuration = holder.knowledge._configuration = Configuration()
-        _, config_mb = _weigh(adopt)
+        head = split.blobs[split.digest]
+        parts = {digest: split.blobs[digest] for digest in split.manifest.parts}
+        fresh = Configuration()
+        _, adopt_s = _time(lambda: fresh.adopt(Generation(1), head, parts))
+        config = holder.configuration
+        _, config_mb = _weigh(lambda: config.adopt(Generation(1), head, parts))
         _, members_mb = _weigh(holder.fill_members)
         _, records_mb = _weigh(holder.fill_records)
         _, place_s = _time(holder.place_all)
@@ -173,8 +171,10 @@
         state_bytes = len(msgspec.msgpack.encode(FleetState(news)))
         nursery.cancel_scope.cancel()
     return {
-        "set_mb": len(content) / MEGABYTE,
-        "encode_set_s": encode_s,
+        "set_mb": split.n_bytes / MEGABYTE,
+        "manifest_kb": len(head) / 1000,
+        "mean_part_kb": split.n_bytes / len(parts) / 1000,
+        "split_set_s": split_s,
         "adopt_set_s": adopt_s,
         "config_mb": config_mb,
         "members_mb": members_mb,
--- a/celeryfold/config/adoption.py
+++ b/celeryfold/config/adoption.py
@@ -5,42 +5,57 @@
 __all__ = ["Configuration"]
 
 import logging
+from collections.abc import Mapping
 
+import msgspec
 import trio
 from pydantic import ValidationError
 
 from ..kernel.ids import Generation
 from .objects import Catalog, ObjectSet
-from .publishing import make_digest
+from .parts import Manifest, join_set, make_digest
 
 log = logging.getLogger(__name__)
 
 
 class Configuration:
-    """Hold the highest generation seen, with its content for others to fetch."""
+    """Hold the highest generation seen, with its parts for others to fetch."""
 
     def __init__(self) -> None:
         self.generation = Generation(0)
         self.digest = ""
-        self.content = b""
+        self.blobs: dict[str, bytes] = {}
         self.catalog = Catalog(ObjectSet())
         self._adopted = trio.Event()
 
-    def adopt(self, generation: Generation, digest: str, content: bytes) -> bool:
-        """Put a set in force unless it is no newer or not what its hash says.
+    def list_missing(self, manifest: Manifest) -> list[str]:
+        """Return the parts of a set that are not held here."""
+        return [digest for digest in manifest.parts if digest not in self.blobs]
 
+    def adopt(
+        self, generation: Generation, head: bytes, fetched: Mapping[str, bytes]
+    ) -> bool:
+        """Put a set in force unless it is no newer or not whole.
+
+        :param head: the encoded manifest.
+        :param fetched: parts that are not held yet, by hash.
         :returns: whether it came into force.
         """
-        if generation <= self.generation or make_digest(content) != digest:
+        if generation <= self.generation:
+            return False
+        if any(make_digest(content) != name for name, content in fetched.items()):
             return False
         try:
-            objects = ObjectSet.model_validate_json(content)
-        except ValidationError:
+            manifest = msgspec.json.decode(head, type=Manifest)
+            parts = {**self.blobs, **fetched}
+            kept = {digest: parts[digest] for digest in manifest.parts}
+            objects = join_set(manifest, kept)
+        except (KeyError, msgspec.DecodeError, ValidationError):
             log.exception("generation %s cannot be read", generation)
             return False
         self.generation = generation
-        self.digest = digest
-        self.content = content
+        self.digest = make_digest(head)
+        self.blobs = kept | {self.digest: head}
         self.catalog = Catalog(objects)
         self._adopted.set()
         self._adopted = trio.Event()
--- a/celeryfold/config/check.py
+++ b/celeryfold/config/check.py
@@ -18,7 +18,7 @@
 from .objects import Confirm, ObjectSet
 
 SECTIONS = ("places", "read_rules", "upstream_groups", "services")
-MAX_SET_BYTES = 1_000_000
+MAX_SET_BYTES = 8_000_000
 
 
 @dataclass
--- a/celeryfold/config/publishing.py
+++ b/celeryfold/config/publishing.py
@@ -8,10 +8,8 @@
     "Pointer",
     "SubmitFailure",
     "Unavailable",
-    "encode_set",
     "find_differences",
-    "load_set",
-    "make_digest",
+    "load_blob",
     "publish",
     "read_pointer",
 ]
@@ -20,21 +18,22 @@
 from dataclasses import dataclass
 
 import msgspec
-import xxhash
 from returns.result import Failure, Result, Success
 
 from ..kernel.ids import Generation
 from ..platform.store import Store, StoreConflict, StoreEntry, StoreUnavailable
 from .objects import ObjectSet
+from .parts import Manifest, SplitSet, join_set, split_set
 
 CURRENT_KEY = "celeryfold/current"
-SET_PREFIX = "celeryfold-sets/"
+BLOB_PREFIX = "celeryfold-sets/"
 N_READS_AFTER_LOST_ANSWER = 5
 
 
 class Pointer(msgspec.Struct, frozen=True):
     """Say which set is in force.
 
+    :param digest: hash of the set's manifest.
     :param submission: chosen by the submitter, to know its own write again.
     """
 
@@ -47,7 +46,7 @@
 class Conflict:
     """Tell a submitter that another submission came first.
 
-    :param changed: names of objects that differ from those the submitter started from.
+    :param changed: names of objects that differ between the two sets.
     """
 
     current: Pointer
@@ -64,16 +63,6 @@
 SubmitFailure = Conflict | Unavailable
 
 
-def make_digest(content: bytes) -> str:
-    """Return the content hash under which a set is kept."""
-    return xxhash.xxh3_128_hexdigest(content)
-
-
-def encode_set(objects: ObjectSet) -> bytes:
-    """Return the bytes of a set, the same for equal sets."""
-    return objects.model_dump_json().encode()
-
-
 def read_pointer(entry: StoreEntry | None) -> Pointer | None:
     """Return the pointer in a store entry."""
     if entry is None:
@@ -81,12 +70,12 @@
     return msgspec.json.decode(entry.value, type=Pointer)
 
 
-async def load_set(store: Store, digest: str) -> bytes | None:
-    """Return the content of a set, or None where the store has none.
+async def load_blob(store: Store, digest: str) -> bytes | None:
+    """Return a manifest or a part by its hash, or None where the store has none.
 
     :raises StoreUnavailable: where the store does not answer.
     """
-    entry = await store.get(SET_PREFIX + digest)
+    entry = await store.get(BLOB_PREFIX + digest)
     return entry.value if entry is not None else None
 
 
@@ -99,35 +88,45 @@
     :returns: the pointer now in force, or why the set is not.
     """
     submission = secrets.token_hex(8)
-    content = encode_set(objects)
-    digest = make_digest(content)
+    split = split_set(objects)
     try:
         current = await store.get(CURRENT_KEY)
         pointer = read_pointer(current)
         generation = pointer.generation if pointer else Generation(0)
         if based_on is not None and generation != based_on and pointer is not None:
             return Failure(await _describe_conflict(store, objects, pointer))
-        await _put_set(store, digest, content)
+        await _put_blobs(store, split, await _list_known(store, pointer))
     except StoreUnavailable as error:
         return Failure(Unavailable(f"nothing was published: {error}"))
-    proposed = Pointer(Generation(generation + 1), digest, submission)
+    proposed = Pointer(Generation(generation + 1), split.digest, submission)
     value = msgspec.json.encode(proposed)
     try:
         await store.compare_and_swap(
             CURRENT_KEY, current.revision if current else 0, value
         )
-    except StoreConflict:
-        return await _read_back(store, proposed, objects)
-    except StoreUnavailable:
+    except (StoreConflict, StoreUnavailable):
         return await _read_back(store, proposed, objects)
     return Success(proposed)
 
 
-async def _put_set(store: Store, digest: str, content: bytes) -> None:
-    try:
-        await store.compare_and_swap(SET_PREFIX + digest, 0, content)
-    except StoreConflict:
-        return
+async def _list_known(store: Store, pointer: Pointer | None) -> frozenset[str]:
+    """Return the parts of the set in force; they need not be written again."""
+    if pointer is None:
+        return frozenset()
+    head = await load_blob(store, pointer.digest)
+    if head is None:
+        return frozenset()
+    return frozenset(msgspec.json.decode(head, type=Manifest).parts)
+
+
+async def _put_blobs(store: Store, split: SplitSet, known: frozenset[str]) -> None:
+    for digest, content in split.blobs.items():
+        if digest in known:
+            continue
+        try:
+            await store.compare_and_swap(BLOB_PREFIX + digest, 0, content)
+        except StoreConflict:
+            continue
 
 
 async def _read_back(
@@ -151,15 +150,28 @@
     store: Store, objects: ObjectSet, pointer: Pointer
 ) -> Conflict:
     try:
-        content = await load_set(store, pointer.digest)
+        theirs = await _load_set(store, pointer.digest)
     except StoreUnavailable:
-        content = None
-    if content is None:
+        theirs = None
+    if theirs is None:
         return Conflict(pointer)
-    theirs = ObjectSet.model_validate_json(content)
     return Conflict(pointer, find_differences(objects, theirs))
 
 
+async def _load_set(store: Store, digest: str) -> ObjectSet | None:
+    head = await load_blob(store, digest)
+    if head is None:
+        return None
+    manifest = msgspec.json.decode(head, type=Manifest)
+    blobs: dict[str, bytes] = {}
+    for part in manifest.parts:
+        content = await load_blob(store, part)
+        if content is None:
+            return None
+        blobs[part] = content
+    return join_set(manifest, blobs)
+
+
 def find_differences(ours: ObjectSet, theirs: ObjectSet) -> tuple[str, ...]:
     """Return the names of the objects that differ between two sets."""
     changed = []
--- a/celeryfold/fleet/knowledge.py
+++ b/celeryfold/fleet/knowledge.py
@@ -12,7 +12,8 @@
 import xxhash
 
 from ..config.adoption import Configuration
-from ..config.publishing import Pointer, load_set
+from ..config.parts import Manifest, make_digest
+from ..config.publishing import Pointer, load_blob
 from ..exceptions import CeleryfoldError
 from ..groups.book import KnownRecord, RecordBook
 from ..groups.record import GroupRecord
@@ -28,6 +29,8 @@
 
 FETCH_TIMEOUT_S = 2.0
 FETCH_RETRY_S = 0.2
+N_PEERS_ASKED = 2
+N_FETCHES_AT_ONCE = 8
 GROUP_KEYS = "celeryfold/groups/"
 
 
@@ -157,17 +160,40 @@
                 self._want_changed = trio.Event()
                 await self._want_changed.wait()
                 continue
-            content = await self._fetch(wanted)
-            if content is None:
-                await trio.sleep(FETCH_RETRY_S)
-                continue
-            adopted = self._configuration.adopt(
-                wanted.generation, wanted.digest, content
-            )
-            if adopted:
+            if await self._adopt(wanted):
                 await self._announce(wanted)
             elif self._wanted is wanted:
-                self._wanted = None
+                await trio.sleep(FETCH_RETRY_S)
+
+    async def _adopt(self, wanted: ConfigNews) -> bool:
+        """Fetch what is missing of a set and put it in force."""
+        head = await self._fetch(wanted.digest, wanted.holder)
+        if head is None:
+            return False
+        try:
+            manifest = msgspec.json.decode(head, type=Manifest)
+        except msgspec.DecodeError:
+            return False
+        missing = self._configuration.list_missing(manifest)
+        fetched = await self._fetch_all(missing, wanted.holder)
+        if len(fetched) < len(set(missing)):
+            return False
+        return self._configuration.adopt(wanted.generation, head, fetched)
+
+    async def _fetch_all(self, digests: list[str], holder: str) -> dict[str, bytes]:
+        fetched: dict[str, bytes] = {}
+        limiter = trio.CapacityLimiter(N_FETCHES_AT_ONCE)
+
+        async def fetch(digest: str) -> None:
+            async with limiter:
+                content = await self._fetch(digest, holder)
+            if content is not None:
+                fetched[digest] = content
+
+        async with trio.open_nursery() as nursery:
+            for digest in set(digests):
+                nursery.start_soon(fetch, digest)
+        return fetched
 
     async def _announce(self, adopted: ConfigNews) -> None:
         self._digest = None
@@ -178,33 +204,40 @@
             news = msgspec.structs.replace(adopted, holder=self._address)
             await self._membership.tell(news)
 
-    async def _fetch(self, wanted: ConfigNews) -> bytes | None:
-        holders = [wanted.holder] if wanted.holder else []
-        if self._membership is not None:
-            others = [member.address for member in self._membership.others()]
-            holders += random.sample(others, min(2, len(others)))
-        if not wanted.holder:
-            content = await self._load(wanted.digest)
+    async def _fetch(self, digest: str, holder: str) -> bytes | None:
+        """Return a manifest or part from its holder, the store or any peer."""
+        if holder:
+            content = await self._ask(holder, digest)
             if content is not None:
                 return content
-        for address in holders:
-            try:
-                reply = await self._link.request(
-                    address, FetchConfig(wanted.digest), FETCH_TIMEOUT_S
-                )
-            except CeleryfoldError:
-                continue
-            if reply.content is not None:
-                return bytes(reply.content)
-        return await self._load(wanted.digest)
+        content = await self._load(digest)
+        if content is not None or self._membership is None:
+            return content
+        others = [member.address for member in self._membership.others()]
+        for address in random.sample(others, min(N_PEERS_ASKED, len(others))):
+            content = await self._ask(address, digest)
+            if content is not None:
+                return content
+        return None
+
+    async def _ask(self, address: str, digest: str) -> bytes | None:
+        try:
+            reply = await self._link.request(
+                address, FetchConfig(digest), FETCH_TIMEOUT_S
+            )
+        except CeleryfoldError:
+            return None
+        content = reply.content
+        if content is None or make_digest(content) != digest:
+            return None
+        return bytes(content)
 
     async def _load(self, digest: str) -> bytes | None:
         try:
-            return await load_set(self._store, digest)
+            return await load_blob(self._store, digest)
         except CeleryfoldError:
             return None
 
     async def _answer_fetch_config(self, request: FetchConfig) -> ConfigReply:
         config = self._configuration
-        content = config.content if config.digest == request.digest else None
-        return ConfigReply(config.generation, content)
+        return ConfigReply(config.generation, config.blobs.get(request.digest))
--- a/celeryfold/fleet/messages.py
+++ b/celeryfold/fleet/messages.py
@@ -81,13 +81,13 @@
 
 
 class FetchConfig(msgspec.Struct, frozen=True, array_like=True, tag="fetch_config"):
-    """Ask for a set of objects by its hash."""
+    """Ask for a manifest or a part of a set by its hash."""
 
     digest: str
 
 
 class ConfigReply(msgspec.Struct, frozen=True, array_like=True, tag="config"):
-    """Hold a set of objects, or None where the peer does not have it."""
+    """Hold a manifest or a part, or None where the peer does not have it."""
 
     generation: Generation
     content: bytes | None
