Heal the fleet after a cut, stop an isolated guardian from shrinking, run faults on processes

A fifth of the probes now goes to members believed dead, and a probe or its reply tells the other side what is said of it, so that it can refute. - A guardian cut off from all slots and peers, but not from the store, dropped confirming slots, which the real guardian let in again: 29 terms in 30 s. Only a guardian that reaches the primary drops a slot now, and a slot dropped repeatedly waits longer each time.

Ruled out: longer suspicion, which only moves the first fault to longer cuts.

Added: celeryfold bench faults, over processes that are killed, frozen, cut, silenced and made to lose answers, with outages of the store.

--- /dev/null
+++ b/celeryfold/bench/faults.py
@@ -0,0 +1,227 @@
+"""A run over separate processes that are killed, stopped, cut and silenced."""
+
+from __future__ import annotations
+
+__all__ = ["FaultsMeasure"]
+
+import random
+import signal
+import tempfile
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import msgspec
+import trio
+
+from ..kernel.ids import GroupId
+from ..platform.http_slot import HttpSlot
+from ..platform.slot import Statement
+from ..standins.faults import FaultsBody
+from .callers import Caller, HttpDoor
+from .history import History, Verdict
+from .processes import WORKLOAD, ProcessSite, SiteShape
+from .report import MEASURES, Figures, Measure, Report
+
+SHAPE = SiteShape(n_instances=4, n_groups=2, n_slots=3)
+N_CALLERS = 8
+N_OWNERS = 12
+SECONDS = 20.0
+PAUSE_S = 0.03
+WRITE_SHARE = 0.4
+AGES_S = (0.5, 2.0, 10.0)
+FAULT_EVERY_S = (1.0, 2.5)
+FAULT_LASTS_S = (1.0, 3.0)
+SETTLE_TIMEOUT_S = 40.0
+SETTLE_STEP_S = 0.5
+CONNECT_TRIES = 50
+
+
+class _Run:
+    """Callers at work while processes fail."""
+
+    def __init__(self, site: ProcessSite, seed: int) -> None:
+        self.site = site
+        self.rng = random.Random(seed)
+        self.history = History()
+        self.log: list[str] = []
+        self._busy: set[str] = set()
+
+    def find_group(self, owner: str) -> str:
+        """Return the group that holds an owner's data."""
+        catalog = self.site.catalog
+        service = next(iter(catalog.services.values()))
+        return catalog.find_group(service, owner).name
+
+    async def work(self, number: int, ends_at: float) -> None:
+        """Be one caller until the end."""
+        rng = random.Random(self.rng.random())
+        doors = [HttpDoor(address) for address in self.site.callers.values()]
+        caller = Caller(
+            f"c{number}",
+            doors,
+            WORKLOAD,
+            self.history,
+            rng,
+            self.find_group,
+            lambda slot: slot.endswith("-a"),
+        )
+        while trio.current_time() < ends_at:
+            owner = f"owner-{rng.randrange(N_OWNERS)}"
+            if rng.random() < WRITE_SHARE:
+                await caller.write(owner)
+            else:
+                await caller.read(owner, rng.choice(AGES_S))
+            await trio.sleep(PAUSE_S)
+
+    async def break_things(self, nursery: trio.Nursery, ends_at: float) -> None:
+        """Start a fault every now and then."""
+        while trio.current_time() < ends_at:
+            await trio.sleep(self.rng.uniform(*FAULT_EVERY_S))
+            fault = self.rng.choice(
+                [self.kill, self.stop, self.cut, self.silence, self.lose, self.outage]
+            )
+            nursery.start_soon(fault, self.rng.uniform(*FAULT_LASTS_S))
+
+    async def _with_target(
+        self, names: list[str], what: str, use: Callable[[str], Awaitable[None]]
+    ) -> None:
+        """Use a target that no other fault has, and leave half of its kind alone."""
+        busy = [name for name in names if name in self._busy]
+        free = [name for name in names if name not in self._busy]
+        if not free or len(busy) * 2 >= len(names):
+            return
+        target = self.rng.choice(free)
+        self._busy.add(target)
+        self.log.append(f"{what} {target}")
+        try:
+            await use(target)
+        finally:
+            self._busy.discard(target)
+
+    async def kill(self, lasts_s: float) -> None:
+        """Kill an instance and start it anew."""
+
+        async def use(name: str) -> None:
+            self.site.signal(name, signal.SIGKILL)
+            await trio.to_thread.run_sync(self.site.processes[name].wait)
+            await trio.sleep(lasts_s)
+            self.site.start_instance(name)
+            await self.site.wait_ready([name])
+
+        await self._with_target(list(self.site.callers), "kill", use)
+
+    async def stop(self, lasts_s: float) -> None:
+        """Freeze a process, so that it wakes believing what it did before."""
+
+        async def use(name: str) -> None:
+            self.site.signal(name, signal.SIGSTOP)
+            await trio.sleep(lasts_s)
+            self.site.signal(name, signal.SIGCONT)
+
+        await self._with_target(list(self.site.callers), "freeze", use)
+
+    async def cut(self, lasts_s: float) -> None:
+        """Cut a slot off; it goes on believing what it does."""
+
+        async def use(name: str) -> None:
+            await self.site.set_faults(name, FaultsBody(cut=True))
+            await trio.sleep(lasts_s)
+            await self.site.set_faults(name, FaultsBody(cut=False))
+
+        await self._with_target(list(self.site.slots), "cut", use)
+
+    async def silence(self, lasts_s: float) -> None:
+        """Make a slot's open connections silent for good."""
+
+        async def use(name: str) -> None:
+            await self.site.set_faults(name, FaultsBody(silence=True))
+
+        await self._with_target(list(self.site.slots), "silence", use)
+
+    async def lose(self, lasts_s: float) -> None:
+        """Let a slot lose answers after taking effect."""
+
+        async def use(name: str) -> None:
+            await self.site.set_faults(name, FaultsBody(drop_answers=3))
+
+        await self._with_target(list(self.site.slots), "lose answers of", use)
+
+    async def outage(self, lasts_s: float) -> None:
+        """Let the store hang, and lose an answer when it is back."""
+
+        async def use(name: str) -> None:
+            await self.site.set_faults(name, FaultsBody(paused=True))
+            await trio.sleep(lasts_s)
+            await self.site.set_faults(name, FaultsBody(paused=False, drop_answers=1))
+
+        await self._with_target(["store"], "outage of", use)
+
+    async def run(self) -> Verdict:
+        """Return the verdict."""
+        ends_at = trio.current_time() + SECONDS
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.break_things, nursery, ends_at)
+            for number in range(N_CALLERS):
+                nursery.start_soon(self.work, number, ends_at)
+        return self.history.judge(await self._count_markers())
+
+    async def _count_markers(self) -> dict[str, int]:
+        counts: dict[str, int] = {}
+        with trio.fail_after(SETTLE_TIMEOUT_S):
+            for group in self.site.catalog.groups:
+                counts.update(await self._count_group(group))
+        return counts
+
+    async def _count_group(self, group: GroupId) -> dict[str, int]:
+        while True:
+            await trio.sleep(SETTLE_STEP_S)
+            record = await self.site.find_record(group)
+            slot = HttpSlot(record.primary, self.site.slots[record.primary])
+            status = await slot.fetch_status()
+            if record.started and status.ordered_term == record.term:
+                return await _read_census(slot)
+
+
+async def _read_census(slot: HttpSlot) -> dict[str, int]:
+    for _ in range(CONNECT_TRIES):
+        try:
+            connection = await slot.connect()
+            break
+        except Exception:
+            await trio.sleep(0.1)
+    answer = await connection.execute(
+        [Statement(WORKLOAD.census)], begin=True, commit=True
+    )
+    await connection.close()
+    return {str(row[0]): int(row[1] or 0) for row in answer.results[0].rows}
+
+
+class FaultsMeasure(Measure):
+    """Fixed faults by seed; the verdict on what callers saw."""
+
+    def run(self, deployment: str, seed: int) -> Report:
+        """Run processes of its own; the deployment is not used."""
+        with tempfile.TemporaryDirectory() as folder:
+            site = ProcessSite(Path(folder), SHAPE)
+            try:
+                verdict, log = trio.run(_measure, site, seed)
+            finally:
+                site.close()
+        figures: Figures = {
+            name: value
+            for name, value in msgspec.structs.asdict(verdict).items()
+            if value is not None and name != "failover_gap_s"
+        }
+        figures["n_faults"] = len(log)
+        text = "none: every figure from n_lost to n_false_not_run has to be 0"
+        return Report("faults", "processes", seed, text, {}, figures, {})
+
+
+async def _measure(site: ProcessSite, seed: int) -> tuple[Verdict, list[str]]:
+    await site.start()
+    run = _Run(site, seed)
+    verdict = await run.run()
+    return verdict, run.log
+
+
+MEASURES.add("faults", FaultsMeasure)
--- a/celeryfold/bench/world.py
+++ b/celeryfold/bench/world.py
@@ -155,6 +155,10 @@
             await instance.start(nursery)
             task_status.started()
 
+    def is_running(self, name: InstanceId) -> bool:
+        """Tell whether an instance has started and not ended."""
+        return name in self._nurseries
+
     def kill(self, name: InstanceId) -> None:
         """End an instance at once, as kill -9 would."""
         self.links.pop(name, None)
--- a/celeryfold/commands/bench.py
+++ b/celeryfold/commands/bench.py
@@ -13,7 +13,17 @@
 from ..bench.report import MEASURES, Report
 from ..kernel.logs import start_logging
 
-MODULES = ("control", "crest", "failover", "path", "replica_reads", "state")
+MODULES = (
+    "control",
+    "crest",
+    "failover",
+    "faults",
+    "path",
+    "replica_reads",
+    "state",
+)
+
+BROKEN = ("n_lost", "n_doubled", "n_stale_reads", "n_false_not_run")
 
 
 def run(
@@ -33,7 +43,7 @@
         click.echo(msgspec.json.encode(report).decode())
     else:
         _print_table(report)
-    return 0
+    return 1 if any(report.celeryfold.get(name) for name in BROKEN) else 0
 
 
 def _print_table(report: Report) -> None:
--- a/celeryfold/commands/standin.py
+++ b/celeryfold/commands/standin.py
@@ -18,6 +18,7 @@
 )
 from ..daemon import run_until_signal
 from ..kernel.logs import start_logging
+from ..platform.listing import ListedInstance, Listing
 from ..standins.listing import ListEngine
 from ..standins.servers import HttpLogSource, serve_list, serve_slot, serve_store
 from ..standins.slot import SlotEngine
@@ -66,7 +67,11 @@
 
     async def start(nursery: trio.Nursery) -> None:
         listen = settings.listen
-        engine = ListEngine(lag_s=settings.lag_ms / 1000.0)
+        listed = [
+            ListedInstance(item.instance, item.peer.address, item.place)
+            for item in settings.instances
+        ]
+        engine = ListEngine(Listing(tuple(listed)), settings.lag_ms / 1000.0)
         await serve_list(engine, listen.host, listen.port, nursery)
 
     return start
--- a/celeryfold/config/settings.py
+++ b/celeryfold/config/settings.py
@@ -109,11 +109,22 @@
     listen: Endpoint
 
 
+class ListedInstanceSettings(BaseModel):
+    """An instance that a list stand-in names from the start."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    instance: InstanceId = Field(pattern=NAME_PATTERN)
+    place: PlaceId
+    peer: Endpoint
+
+
 class ListStandinSettings(Settings):
     """Settings of a list stand-in."""
 
     listen: Endpoint
     lag_ms: float = Field(0.0, ge=0.0)
+    instances: tuple[ListedInstanceSettings, ...] = ()
 
 
 def load_settings(file: Path, kind: type[S]) -> S:
--- a/celeryfold/fleet/membership.py
+++ b/celeryfold/fleet/membership.py
@@ -36,6 +36,7 @@
 N_INDIRECT_PROBES = 3
 SUSPICION_S = 2.5
 DEAD_KEPT_S = 60.0
+DEAD_PROBE_SHARE = 0.2
 N_TOLD_AT_ONCE = 3
 N_MISMATCHES_UNTIL_FETCH = 2
 FETCH_TIMEOUT_S = 1.0
@@ -247,6 +248,13 @@
                 await self._probe(peer)
 
     def _choose_peer(self) -> Member | None:
+        """Return the next of a shuffled round, at times one believed dead.
+
+        After a cut both sides believe each other dead; someone has to ask again.
+        """
+        dead = [m for m in self.members.values() if m.state is MemberState.DEAD]
+        if dead and self.rng.random() < DEAD_PROBE_SHARE:
+            return self.rng.choice(dead)
         while True:
             if not self._order:
                 self._order = [member.instance_id for member in self.others()]
@@ -258,17 +266,23 @@
                 return member
 
     async def _probe(self, peer: Member) -> None:
-        if await self._reach(peer.address):
+        about = () if peer.state is MemberState.ALIVE else (MemberNews(peer),)
+        if await self._reach(peer.address, about):
             return
-        if await self._reach_through_others(peer):
+        if peer.state is MemberState.DEAD or await self._reach_through_others(peer):
             return
         known = self.members.get(peer.instance_id)
         if known is not None and known.state is MemberState.ALIVE:
             suspect = msgspec.structs.replace(known, state=MemberState.SUSPECT)
             await self.hear((MemberNews(suspect),))
 
-    async def _reach(self, address: str) -> bool:
-        probe = Probe(self._queue.take(len(self.members)), self._knowledge.digest())
+    async def _reach(self, address: str, about: tuple[MemberNews, ...] = ()) -> bool:
+        """Probe an address, telling it what is said of it.
+
+        :param about: news of the probed member itself, for it to refute.
+        """
+        news = (*about, *self._queue.take(len(self.members)))
+        probe = Probe(news, self._knowledge.digest(), self.me.instance_id)
         try:
             reply = await self._link.request(address, probe, PROBE_TIMEOUT_S)
         except CeleryfoldError:
@@ -343,7 +357,10 @@
 
     async def _answer_probe(self, probe: Probe) -> ProbeReply:
         await self.hear(probe.news)
-        news = self._queue.take(len(self.members))
+        news: tuple[News, ...] = self._queue.take(len(self.members))
+        sender = self.members.get(probe.sender)
+        if sender is not None and sender.state is not MemberState.ALIVE:
+            news = (MemberNews(sender), *news)
         return ProbeReply(news, self._knowledge.digest())
 
     async def _answer_probe_for(self, request: ProbeFor) -> ProbeReply:
--- a/celeryfold/fleet/messages.py
+++ b/celeryfold/fleet/messages.py
@@ -34,7 +34,7 @@
     TakeSampleReply,
 )
 from ..kernel.errors import ErrorKind
-from ..kernel.ids import Generation, SlotId
+from ..kernel.ids import Generation, InstanceId, SlotId
 from .members import Member, News
 
 
@@ -42,10 +42,12 @@
     """Ask whether a peer is alive, telling it news.
 
     :param digest: hash of the sender's records and generation.
+    :param sender: who asks, so that it can be told what is said of it.
     """
 
     news: tuple[News, ...]
     digest: int
+    sender: InstanceId
 
 
 class ProbeReply(msgspec.Struct, frozen=True, array_like=True, tag="probe_reply"):
--- a/celeryfold/groups/decisions.py
+++ b/celeryfold/groups/decisions.py
@@ -138,14 +138,14 @@
 
 
 def _change_confirming(record: GroupRecord, view: GroupView) -> Swap | None:
+    primary_status = view.statuses.get(record.primary)
+    if primary_status is None:
+        return None
     for slot in sorted(record.confirming - {record.primary}):
         if slot in view.mute | view.leaving:
             smaller = shrink(record, slot)
             if smaller is not None:
                 return Swap(smaller, EventKind.MEMBER_DROPPED)
-    primary_status = view.statuses.get(record.primary)
-    if primary_status is None:
-        return None
     for slot in view.eligible:
         status = view.statuses.get(slot)
         if slot in record.confirming or status is None or slot in view.leaving:
--- a/celeryfold/groups/guardian.py
+++ b/celeryfold/groups/guardian.py
@@ -32,6 +32,7 @@
 LOST_AFTER_S = 1.4
 MUTE_AFTER_S = 1.2
 STEADY_AFTER_S = 2.0
+MAX_PROBATION_S = 60.0
 RANK_STEP_S = 1.5
 
 
@@ -88,6 +89,7 @@
         self._answered_at: dict[SlotId, float] = {}
         self._steady_since: dict[SlotId, float] = {}
         self._lost: frozenset[SlotId] = frozenset()
+        self._n_drops: dict[SlotId, int] = {}
         self._since = 0.0
 
     async def run(self) -> None:
@@ -207,7 +209,7 @@
         steady = {
             slot
             for slot, since in self._steady_since.items()
-            if now - since >= STEADY_AFTER_S
+            if now - since >= self._find_probation_s(slot)
         }
         return GroupView(
             statuses=self._statuses,
@@ -218,6 +220,15 @@
             eligible=self._ports.find_catalog().find_confirming(definition),
         )
 
+    def _find_probation_s(self, slot: SlotId) -> float:
+        """Return how long a slot must answer before it is let in again.
+
+        One that was dropped again and again waits longer each time, since each
+        admission takes a new term.
+        """
+        n_drops = self._n_drops.get(slot, 0)
+        return float(min(MAX_PROBATION_S, STEADY_AFTER_S * 2 ** max(0, n_drops - 1)))
+
     def _find_leaving(self) -> frozenset[SlotId]:
         said = {slot for slot, status in self._statuses.items() if status.leaving}
         return self._ports.find_leaving() | said
@@ -264,6 +275,8 @@
         detail = f"term {swap.record.term} primary {swap.record.primary}"
         self._timeline.add(swap.event, self.group, detail)
         self._metrics.count(f"guardian.{swap.event.value}")
+        for slot in known.record.confirming - swap.record.confirming:
+            self._n_drops[slot] = self._n_drops.get(slot, 0) + 1
         if swap.event is EventKind.TERM_PROPOSED:
             order = Promote(swap.record.primary, swap.record.term)
             await self._promote(new, order)
--- a/celeryfold/tests/test_promises.py
+++ b/celeryfold/tests/test_promises.py
@@ -72,7 +72,7 @@
         await trio.sleep(fault.lasts_s)
         world.network.heal_regions()
     elif fault.kind == "kill":
-        if name in world.instances:
+        if world.is_running(name):
             world.kill(name)
             await trio.sleep(fault.lasts_s)
             await world.start_instance(name, PlaceId(INSTANCES[name]))
