--- /dev/null
+++ b/celeryfold/entry/tests/test_door.py
@@ -0,0 +1,107 @@
+"""The callers' door: forged tokens, bad bodies, unknown names."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+import trio
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from celeryfold.bench.crowd import SERVICE, make_small_world
+from celeryfold.bench.world import World, run_world
+from celeryfold.conftest import count_examples
+from celeryfold.entry.door import CallerHandler
+from celeryfold.entry.sessions import Seen, SessionTokens
+from celeryfold.exceptions import RequestFailure
+from celeryfold.kernel.errors import ANSWERS, ErrorKind
+from celeryfold.kernel.ids import GroupId, Position, Term
+from celeryfold.wire.messages import HttpRequest
+
+SEEN = Seen({GroupId("g1"): (Term(3), Position(9))})
+
+
+def test_every_error_kind_has_an_answer():
+    assert set(ANSWERS) == set(ErrorKind)
+
+
+def test_a_token_reads_back():
+    tokens = SessionTokens(b"secret")
+    assert tokens.read(tokens.write(SEEN)) == SEEN
+
+
+@given(st.text(max_size=60))
+def test_no_other_text_is_a_token(text):
+    tokens = SessionTokens(b"secret")
+    if text in ("", tokens.write(SEEN)):
+        return
+    with pytest.raises(RequestFailure):
+        tokens.read(text)
+
+
+def test_a_token_of_another_secret_is_refused():
+    forged = SessionTokens(b"other").write(SEEN)
+    with pytest.raises(RequestFailure) as caught:
+        SessionTokens(b"secret").read(forged)
+    assert caught.value.kind is ErrorKind.INVALID_TOKEN
+
+
+async def post(world: World, path: str, body: bytes) -> ErrorKind | None:
+    """Send a request to a door; return the error kind it ends with."""
+    handler = CallerHandler(next(iter(world.instances.values())))
+    try:
+        with trio.fail_after(30):
+            await handler.handle(HttpRequest("POST", path, body))
+    except RequestFailure as failure:
+        return failure.kind
+    return None
+
+
+paths = st.one_of(
+    st.just(f"/v1/services/{SERVICE}/statements"),
+    st.just(f"/v1/services/{SERVICE}/outcomes"),
+    st.just("/v1/transactions/a~b~c~d/commit"),
+    st.text(alphabet="/v1servicestranouz~", max_size=40),
+)
+json_like = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(
+            st.sampled_from(
+                ["statement", "key", "mode", "session", "deadline_ms", "x"]
+            ),
+            inner,
+            max_size=4,
+        )
+    ),
+    max_leaves=6,
+)
+bodies = st.one_of(st.binary(max_size=80), json_like.map(msgspec.json.encode))
+
+
+@settings(max_examples=count_examples(60, 2000))
+@given(st.lists(st.tuples(paths, bodies), min_size=1, max_size=8))
+def test_no_input_breaks_the_door(requests):
+    async def use(world: World) -> list[ErrorKind | None]:
+        return [await post(world, path, body) for path, body in requests]
+
+    kinds = run_world(make_small_world(), use)
+    assert ErrorKind.INTERNAL not in kinds
+
+
+def test_unknown_names_are_told():
+    async def use(world: World) -> list[ErrorKind | None]:
+        return [
+            await post(world, "/v1/services/nope/statements", b'{"statement": "x"}'),
+            await post(world, "/v1/transactions/zzz/commit", b"{}"),
+            await post(world, "/v2/what", b"{}"),
+            await post(world, f"/v1/services/{SERVICE}/statements", b'{"statemen'),
+        ]
+
+    assert run_world(make_small_world(), use) == [
+        ErrorKind.UNKNOWN_SERVICE,
+        ErrorKind.UNKNOWN_TRANSACTION,
+        ErrorKind.NOT_FOUND,
+        ErrorKind.BAD_REQUEST,
+    ]
--- /dev/null
+++ b/celeryfold/home/tests/test_queue.py
@@ -0,0 +1,140 @@
+"""Admission, shares and lanes of a slot's queue, on a mock clock."""
+
+from __future__ import annotations
+
+import trio
+import trio.testing
+from hypothesis import given
+from hypothesis import strategies as st
+
+from celeryfold.exceptions import RequestFailure
+from celeryfold.home.queue import Ticket, WorkQueue
+from celeryfold.home.work import Lane, WorkHistory
+from celeryfold.kernel.ids import ServiceId
+
+A = ServiceId("a")
+B = ServiceId("b")
+COST_S = 0.1
+
+jobs = st.lists(
+    st.tuples(
+        st.floats(0.0, 1.0),
+        st.sampled_from([A, B]),
+        st.sampled_from(list(Lane)),
+        st.floats(0.2, 3.0),
+    ),
+    max_size=40,
+)
+
+
+class Runner:
+    """Run jobs through a queue and watch its limits."""
+
+    def __init__(self, queue: WorkQueue) -> None:
+        self.queue = queue
+        self.n_running = 0
+        self.n_long = 0
+        self.done: list[ServiceId] = []
+        self.late: list[float] = []
+        self.refused: list[float] = []
+        self.refused_after: list[float] = []
+
+    async def run(
+        self,
+        delay_s: float,
+        service: ServiceId,
+        weight: int,
+        lane: Lane,
+        budget_s: float,
+    ) -> None:
+        """Wait for a turn, work, give the place back."""
+        await trio.sleep(delay_s)
+        began = trio.current_time()
+        deadline = began + budget_s
+        ticket = Ticket(service, weight, lane, COST_S, deadline)
+        try:
+            self.queue.admit(ticket)
+        except RequestFailure as failure:
+            self.refused.append(failure.retry_after_s or 0.0)
+            self.refused_after.append(trio.current_time() - began)
+            return
+        with trio.move_on_at(deadline):
+            await ticket.granted.wait()
+        if ticket.holds_place:
+            await self._work(lane)
+            self.done.append(service)
+            if trio.current_time() > deadline:
+                self.late.append(trio.current_time() - deadline)
+        self.queue.release(ticket)
+
+    async def _work(self, lane: Lane) -> None:
+        self.n_running += 1
+        self.n_long += lane is Lane.LONG
+        assert self.n_running <= self.queue.n_places
+        await trio.sleep(COST_S)
+        self.n_running -= 1
+        self.n_long -= lane is Lane.LONG
+
+
+def run_jobs(n_places: int, work: list[tuple]) -> Runner:
+    """Run jobs to their end."""
+
+    async def run() -> Runner:
+        runner = Runner(WorkQueue(n_places))
+        async with trio.open_nursery() as nursery:
+            for job in work:
+                nursery.start_soon(runner.run, *job)
+        return runner
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return trio.run(run, clock=clock)
+
+
+@given(st.integers(1, 4), jobs)
+def test_places_are_kept_and_all_come_back(n_places, work):
+    runner = run_jobs(n_places, [(d, s, 1, lane, b) for d, s, lane, b in work])
+    assert runner.queue.n_running == 0
+    assert runner.queue.n_running_long == 0
+    assert runner.queue.n_waiting == 0
+    assert runner.late == []
+    assert len(runner.done) + len(runner.refused) <= len(work)
+
+
+def test_what_cannot_be_in_time_is_refused_at_once_with_when_to_come_back():
+    runner = run_jobs(1, [(0.0, A, 1, Lane.SHORT, 1.0)] * 40)
+    assert len(runner.refused) >= 25
+    assert set(runner.refused_after) == {0.0}
+    assert min(runner.refused) > 0.0
+    assert len(runner.done) >= 4
+
+
+def test_services_share_by_weight():
+    work = [(0.0, A, 3, Lane.SHORT, 30.0), (0.0, B, 1, Lane.SHORT, 30.0)] * 40
+    first = run_jobs(1, work).done[:40]
+    assert 28 <= first.count(A) <= 32
+
+
+def test_long_work_leaves_places_for_short_work():
+    async def run() -> float:
+        queue = WorkQueue(8)
+        queue_short = Ticket(A, 1, Lane.SHORT, COST_S, 100.0)
+        queue.admit(queue_short)
+        longs = [Ticket(A, 1, Lane.LONG, 1.0, 100.0) for _ in range(20)]
+        for ticket in longs:
+            queue.admit(ticket)
+        before = trio.current_time()
+        short = Ticket(A, 1, Lane.SHORT, COST_S, 100.0)
+        queue.admit(short)
+        await short.granted.wait()
+        return trio.current_time() - before
+
+    assert trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0)) == 0.0
+
+
+def test_a_shape_that_runs_long_is_long_next_time():
+    history = WorkHistory()
+    for _ in range(20):
+        history.record("short", 0.005)
+    history.record("tally", 0.5)
+    assert history.find_lane("short") is Lane.SHORT
+    assert history.find_lane("tally") is Lane.LONG
