--- a/celeryfold/bench/world.py
+++ b/celeryfold/bench/world.py
@@ -37,8 +37,9 @@
     LocalStore,
     run_in,
 )
+from ..standins.log import LogSource
 from ..standins.network import LocalNetwork, NetworkShape
-from ..standins.slot import LogSource, SlotEngine, SlotShape
+from ..standins.slot import SlotEngine, SlotShape
 from ..standins.store import StoreEngine
 from ..wire.answers import FailureBody, make_failure_body
 from .callers import CallerDoor
--- a/celeryfold/entry/entry.py
+++ b/celeryfold/entry/entry.py
@@ -2,19 +2,16 @@
 
 from __future__ import annotations
 
-__all__ = ["Entry", "EntryPorts"]
+__all__ = ["Entry"]
 
 import hashlib
-from abc import ABC, abstractmethod
-from typing import Any
 
 import msgspec
 import trio
 
-from ..config.objects import Catalog, Service, UpstreamGroup
+from ..config.objects import Service, UpstreamGroup
 from ..exceptions import RequestFailure
 from ..fleet.link import PeerUnreachable
-from ..fleet.members import Member
 from ..groups.book import RecordBook
 from ..home.messages import (
     Begin,
@@ -25,17 +22,14 @@
     RunWrite,
     StatementAnswer,
 )
-from ..home.transactions import find_holder
-from ..kernel.errors import ANSWERS, ErrorKind, Ran
+from ..kernel.errors import ErrorKind
 from ..kernel.events import EventKind, Timeline
 from ..kernel.ids import (
     GroupId,
-    InstanceId,
     Position,
     ServiceId,
     SlotId,
     Term,
-    TransactionId,
     make_request_id,
 )
 from ..kernel.metrics import Metrics
@@ -52,12 +46,10 @@
 )
 from .retries import RetryBudget
 from .router import Router
+from .sending import EntryPorts, Sender, join_transaction, split_transaction
 from .sessions import Seen, SessionTokens
 
-RETRY_PAUSE_S = 0.05
-MAX_RETRY_PAUSE_S = 0.4
 MIN_ATTEMPT_S = 0.3
-KEYED_ATTEMPT_S = 1.0
 MAX_DEADLINE_MS = 600_000
 
 _RETRY_READ_ELSEWHERE = {
@@ -68,29 +60,6 @@
     ErrorKind.SHUTTING_DOWN,
     ErrorKind.INTERNAL,
 }
-_RETRY_WRITE = {ErrorKind.NO_PRIMARY, ErrorKind.NOT_RUN, ErrorKind.SHUTTING_DOWN}
-_DEFINITE = {ErrorKind.KEY_CANCELLED, ErrorKind.KEY_REUSED}
-
-
-class EntryPorts(ABC):
-    """What the entry needs of the instance that it runs in."""
-
-    @abstractmethod
-    def find_catalog(self) -> Catalog:
-        """Return the configuration in force."""
-
-    @abstractmethod
-    def find_member(self, instance: InstanceId) -> Member | None:
-        """Return a member of the fleet."""
-
-    @abstractmethod
-    async def send(
-        self, home: Member, message: msgspec.Struct, timeout_s: float
-    ) -> Any:
-        """Send a request to an instance, or serve it here where it is this one.
-
-        :raises PeerUnreachable: where no reply comes in time.
-        """
 
 
 class Entry:
@@ -107,11 +76,11 @@
     ) -> None:
         self._ports = ports
         self._router = router
-        self._book = book
         self._tokens = tokens
         self._timeline = timeline
         self._metrics = metrics
         self._budget = RetryBudget()
+        self._sender = Sender(ports, router, book, metrics, self._budget)
 
     async def run_statement(
         self, service_name: ServiceId, request: StatementRequest
@@ -211,25 +180,12 @@
     async def _send_read(self, slot: SlotId, message: RunRead) -> StatementAnswer:
         self._router.n_in_progress[slot] += 1
         try:
-            return await self._send_to_home(slot, message, message.budget_s)
+            return await self._sender.send_to_home(slot, message, message.budget_s)
         except PeerUnreachable as error:
             raise RequestFailure(ErrorKind.NOT_RUN, str(error)) from error
         finally:
             self._router.n_in_progress[slot] -= 1
 
-    async def _send_to_home(
-        self, slot: SlotId, message: msgspec.Struct, timeout_s: float
-    ) -> Any:
-        home = self._router.find_home(slot)
-        if home is None:
-            raise RequestFailure(ErrorKind.NOT_RUN, "no instance may serve this slot")
-        try:
-            return await self._ports.send(home, message, timeout_s)
-        except PeerUnreachable:
-            self._metrics.count("entry.home_unreachable")
-            self._router.avoid_instance(home.instance_id)
-            raise
-
     async def _write(
         self,
         service: Service,
@@ -253,52 +209,7 @@
                 service.weight,
             )
 
-        return await self._repeat(group.name, make_message, deadline, bool(key))
-
-    async def _repeat(
-        self, group: GroupId, make_message: Any, deadline: float, is_idempotent: bool
-    ) -> Any:
-        """Send to the primary's home until answered, or until a retry is no use.
-
-        Once one try may have run, a later refusal says nothing of that one.
-        """
-        pause_s = RETRY_PAUSE_S
-        may_have_run = False
-        while True:
-            budget_s = deadline - trio.current_time()
-            if is_idempotent:
-                budget_s = min(budget_s, max(KEYED_ATTEMPT_S, budget_s / 2))
-            try:
-                return await self._send_to_primary(group, make_message(budget_s))
-            except RequestFailure as failure:
-                is_unknown = ANSWERS[failure.kind].ran is Ran.UNKNOWN
-                may_have_run = may_have_run or is_unknown
-                can_retry = failure.kind in _RETRY_WRITE or (
-                    is_idempotent and is_unknown
-                )
-                is_time_left = trio.current_time() + pause_s < deadline
-                if not can_retry or not is_time_left or not self._budget.take():
-                    if may_have_run and failure.kind not in _DEFINITE:
-                        raise _make_unknown(failure) from failure
-                    raise
-                self._metrics.count(f"entry.write_again.{failure.kind.value}")
-            with trio.move_on_after(pause_s):
-                await self._book.wait_change(group)
-            pause_s = min(MAX_RETRY_PAUSE_S, pause_s * 2)
-
-    async def _send_to_primary(self, group: GroupId, message: Any) -> Any:
-        known = self._book.find(group)
-        if known is None or not known.record.started:
-            raise RequestFailure(ErrorKind.NO_PRIMARY, f"{group} has no primary now")
-        try:
-            return await self._send_to_home(
-                known.record.primary, message, message.budget_s
-            )
-        except PeerUnreachable as error:
-            kind = ErrorKind.OUTCOME_UNKNOWN
-            if isinstance(message, Begin):
-                kind = ErrorKind.NOT_RUN
-            raise RequestFailure(kind, str(error)) from error
+        return await self._sender.repeat(group.name, make_message, deadline, bool(key))
 
     async def cancel(
         self, service_name: ServiceId, request: CancelRequest
@@ -320,7 +231,7 @@
                 service.weight,
             )
 
-        answer = await self._repeat(group.name, make_message, deadline, True)
+        answer = await self._sender.repeat(group.name, make_message, deadline, True)
         seen = self._tokens.add(seen, group.name, answer.term, answer.position)
         return self._make_response(answer, seen)
 
@@ -344,15 +255,15 @@
                 service.weight,
             )
 
-        reply = await self._repeat(group.name, make_message, deadline, False)
-        name = _join_transaction(service.name, group.name, reply.transaction)
+        reply = await self._sender.repeat(group.name, make_message, deadline, False)
+        name = join_transaction(service.name, group.name, reply.transaction)
         return BeginResponse(name)
 
     async def run_in_transaction(
         self, name: str, request: StatementRequest
     ) -> StatementResponse:
         """Run a statement in an open transaction, wherever it is held."""
-        service_name, _, transaction = _split_transaction(name)
+        service_name, _, transaction = split_transaction(name)
         service = self._find_service(service_name)
         seen = self._tokens.read(request.session)
         budget_s = _find_budget_s(service, request.deadline_ms)
@@ -362,48 +273,27 @@
             Statement(request.statement, request.parameters),
             budget_s,
         )
-        answer = await self._send_to_holder(transaction, message, budget_s, False)
+        answer = await self._sender.send_to_holder(
+            transaction, message, budget_s, False
+        )
         return self._make_response(answer, seen)
 
     async def finish(
         self, name: str, request: FinishRequest, commit: bool
     ) -> StatementResponse:
         """Commit or roll back a transaction."""
-        service_name, group, transaction = _split_transaction(name)
+        service_name, group, transaction = split_transaction(name)
         service = self._find_service(service_name)
         seen = self._tokens.read(request.session)
         budget_s = _find_budget_s(service, request.deadline_ms)
         message = Finish(make_request_id(), transaction, commit, budget_s)
-        answer = await self._send_to_holder(transaction, message, budget_s, commit)
+        answer = await self._sender.send_to_holder(
+            transaction, message, budget_s, commit
+        )
         if commit:
             seen = self._tokens.add(seen, group, answer.term, answer.position)
         return self._make_response(answer, seen)
 
-    async def _send_to_holder(
-        self,
-        transaction: TransactionId,
-        message: msgspec.Struct,
-        budget_s: float,
-        commits: bool,
-    ) -> Any:
-        holder = self._ports.find_member(find_holder(transaction))
-        kind = ErrorKind.OUTCOME_UNKNOWN if commits else ErrorKind.TRANSACTION_LOST
-        if holder is None:
-            text = "the instance that holds the transaction is not known here"
-            unknown = ErrorKind.OUTCOME_UNKNOWN if commits else ErrorKind.NOT_RUN
-            raise RequestFailure(unknown, text)
-        try:
-            return await self._ports.send(holder, message, budget_s)
-        except PeerUnreachable as error:
-            raise RequestFailure(kind, str(error)) from error
-
-
-def _make_unknown(failure: RequestFailure) -> RequestFailure:
-    if failure.kind is ErrorKind.OUTCOME_UNKNOWN:
-        return failure
-    text = f"an earlier try may have run; the last one: {failure.message}"
-    return RequestFailure(ErrorKind.OUTCOME_UNKNOWN, text, failure.retry_after_s)
-
 
 def _find_budget_s(service: Service, deadline_ms: int | None) -> float:
     if deadline_ms is None:
@@ -427,17 +317,3 @@
 
 def _hash_text(text: str) -> str:
     return hashlib.sha256(text.encode()).hexdigest()[:32]
-
-
-def _join_transaction(
-    service: ServiceId, group: GroupId, transaction: TransactionId
-) -> str:
-    return f"{service}~{group}~{transaction}"
-
-
-def _split_transaction(name: str) -> tuple[ServiceId, GroupId, TransactionId]:
-    parts = name.split("~", 2)
-    if len(parts) != 3 or "~" not in parts[2]:
-        text = "this is not the name of a transaction"
-        raise RequestFailure(ErrorKind.UNKNOWN_TRANSACTION, text)
-    return ServiceId(parts[0]), GroupId(parts[1]), TransactionId(parts[2])
--- /dev/null
+++ b/celeryfold/entry/sending.py
@@ -0,0 +1,185 @@
+"""Send requests to homes and holders, again where that is safe and within a budget."""
+
+from __future__ import annotations
+
+__all__ = ["EntryPorts", "Sender", "join_transaction", "split_transaction"]
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+import trio
+
+from ..config.objects import Catalog
+from ..exceptions import RequestFailure
+from ..fleet.link import PeerUnreachable
+from ..fleet.members import Member
+from ..groups.book import RecordBook
+from ..home.messages import Begin
+from ..home.transactions import find_holder
+from ..kernel.errors import ANSWERS, ErrorKind, Ran
+from ..kernel.ids import GroupId, InstanceId, ServiceId, SlotId, TransactionId
+from ..kernel.metrics import Metrics
+from .retries import RetryBudget
+from .router import Router
+
+RETRY_PAUSE_S = 0.05
+MAX_RETRY_PAUSE_S = 0.4
+KEYED_ATTEMPT_S = 1.0
+
+_RETRY_WRITE = {ErrorKind.NO_PRIMARY, ErrorKind.NOT_RUN, ErrorKind.SHUTTING_DOWN}
+_DEFINITE = {ErrorKind.KEY_CANCELLED, ErrorKind.KEY_REUSED}
+
+
+class EntryPorts(ABC):
+    """What the entry needs of the instance that it runs in."""
+
+    @abstractmethod
+    def find_catalog(self) -> Catalog:
+        """Return the configuration in force."""
+
+    @abstractmethod
+    def find_member(self, instance: InstanceId) -> Member | None:
+        """Return a member of the fleet."""
+
+    @abstractmethod
+    async def send(
+        self, home: Member, message: msgspec.Struct, timeout_s: float
+    ) -> Any:
+        """Send a request to an instance, or serve it here where it is this one.
+
+        :raises PeerUnreachable: where no reply comes in time.
+        """
+
+
+class Sender:
+    """Reach homes for one entry.
+
+    :param budget: shared by all retries of the entry.
+    """
+
+    def __init__(
+        self,
+        ports: EntryPorts,
+        router: Router,
+        book: RecordBook,
+        metrics: Metrics,
+        budget: RetryBudget,
+    ) -> None:
+        self._ports = ports
+        self._router = router
+        self._book = book
+        self._metrics = metrics
+        self._budget = budget
+
+    async def send_to_home(
+        self, slot: SlotId, message: msgspec.Struct, timeout_s: float
+    ) -> Any:
+        """Send a request to the home of a slot.
+
+        :raises PeerUnreachable: where the home does not reply; it is avoided then.
+        """
+        home = self._router.find_home(slot)
+        if home is None:
+            raise RequestFailure(ErrorKind.NOT_RUN, "no instance may serve this slot")
+        try:
+            return await self._ports.send(home, message, timeout_s)
+        except PeerUnreachable:
+            self._metrics.count("entry.home_unreachable")
+            self._router.avoid_instance(home.instance_id)
+            raise
+
+    async def repeat(
+        self,
+        group: GroupId,
+        make_message: Callable[[float], Any],
+        deadline: float,
+        is_idempotent: bool,
+    ) -> Any:
+        """Send to the primary's home until answered, or until a retry is no use.
+
+        Once one try may have run, a later refusal says nothing of that one.
+        """
+        pause_s = RETRY_PAUSE_S
+        may_have_run = False
+        while True:
+            budget_s = deadline - trio.current_time()
+            if is_idempotent:
+                budget_s = min(budget_s, max(KEYED_ATTEMPT_S, budget_s / 2))
+            try:
+                return await self._send_to_primary(group, make_message(budget_s))
+            except RequestFailure as failure:
+                is_unknown = ANSWERS[failure.kind].ran is Ran.UNKNOWN
+                may_have_run = may_have_run or is_unknown
+                can_retry = failure.kind in _RETRY_WRITE or (
+                    is_idempotent and is_unknown
+                )
+                is_time_left = trio.current_time() + pause_s < deadline
+                if not can_retry or not is_time_left or not self._budget.take():
+                    if may_have_run and failure.kind not in _DEFINITE:
+                        raise _make_unknown(failure) from failure
+                    raise
+                self._metrics.count(f"entry.write_again.{failure.kind.value}")
+            with trio.move_on_after(pause_s):
+                await self._book.wait_change(group)
+            pause_s = min(MAX_RETRY_PAUSE_S, pause_s * 2)
+
+    async def _send_to_primary(self, group: GroupId, message: Any) -> Any:
+        known = self._book.find(group)
+        if known is None or not known.record.started:
+            raise RequestFailure(ErrorKind.NO_PRIMARY, f"{group} has no primary now")
+        try:
+            return await self.send_to_home(
+                known.record.primary, message, message.budget_s
+            )
+        except PeerUnreachable as error:
+            kind = ErrorKind.OUTCOME_UNKNOWN
+            if isinstance(message, Begin):
+                kind = ErrorKind.NOT_RUN
+            raise RequestFailure(kind, str(error)) from error
+
+    async def send_to_holder(
+        self,
+        transaction: TransactionId,
+        message: msgspec.Struct,
+        budget_s: float,
+        commits: bool,
+    ) -> Any:
+        """Send a request to the instance that holds a transaction."""
+        holder = self._ports.find_member(find_holder(transaction))
+        kind = ErrorKind.OUTCOME_UNKNOWN if commits else ErrorKind.TRANSACTION_LOST
+        if holder is None:
+            text = "the instance that holds the transaction is not known here"
+            unknown = ErrorKind.OUTCOME_UNKNOWN if commits else ErrorKind.NOT_RUN
+            raise RequestFailure(unknown, text)
+        try:
+            return await self._ports.send(holder, message, budget_s)
+        except PeerUnreachable as error:
+            raise RequestFailure(kind, str(error)) from error
+
+
+def _make_unknown(failure: RequestFailure) -> RequestFailure:
+    if failure.kind is ErrorKind.OUTCOME_UNKNOWN:
+        return failure
+    text = f"an earlier try may have run; the last one: {failure.message}"
+    return RequestFailure(ErrorKind.OUTCOME_UNKNOWN, text, failure.retry_after_s)
+
+
+def join_transaction(
+    service: ServiceId, group: GroupId, transaction: TransactionId
+) -> str:
+    """Return the name under which a caller knows a transaction."""
+    return f"{service}~{group}~{transaction}"
+
+
+def split_transaction(name: str) -> tuple[ServiceId, GroupId, TransactionId]:
+    """Return service, group and transaction of a name.
+
+    :raises RequestFailure: where it is none.
+    """
+    parts = name.split("~", 2)
+    if len(parts) != 3 or "~" not in parts[2]:
+        text = "this is not the name of a transaction"
+        raise RequestFailure(ErrorKind.UNKNOWN_TRANSACTION, text)
+    return ServiceId(parts[0]), GroupId(parts[1]), TransactionId(parts[2])
--- a/celeryfold/instance.py
+++ b/celeryfold/instance.py
@@ -14,8 +14,9 @@
 
 from .config.adoption import Configuration
 from .config.objects import Catalog, SlotDefinition, UpstreamGroup
-from .entry.entry import Entry, EntryPorts
+from .entry.entry import Entry
 from .entry.router import Router
+from .entry.sending import EntryPorts
 from .entry.sessions import SessionTokens
 from .exceptions import CeleryfoldError, RequestFailure
 from .fleet.knowledge import Knowledge
--- a/celeryfold/standins/local.py
+++ b/celeryfold/standins/local.py
@@ -34,8 +34,10 @@
 from ..platform.store import Store, StoreEntry, StoreUnavailable
 from .faults import Faults
 from .listing import ListEngine
+from .log import LogBatch
 from .network import LocalNetwork
-from .slot import LogBatch, SlotEngine, SlotSession
+from .session import SlotSession
+from .slot import SlotEngine
 from .store import StoreEngine
 
 T = TypeVar("T")
--- a/celeryfold/standins/servers.py
+++ b/celeryfold/standins/servers.py
@@ -38,7 +38,9 @@
 from ..wire.server import ConnectionHandler, HttpServer
 from .faults import Faults, FaultsBody
 from .listing import ListEngine
-from .slot import LogBatch, SlotEngine, SlotSession
+from .log import LogBatch
+from .session import SlotSession
+from .slot import SlotEngine
 from .store import StoreEngine
 
 HTTP_REFUSED = 409
