--- a/celeryfold/fleet/tests/test_membership.py
+++ b/celeryfold/fleet/tests/test_membership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import trio
+import zmq
 
 from celeryfold.bench.crowd import make_small_world
 from celeryfold.bench.world import World, run_world
@@ -10,7 +11,7 @@
 from celeryfold.fleet.members import Member, MemberNews, MemberState
 from celeryfold.fleet.messages import CheckSlot, CheckSlotReply
 from celeryfold.fleet.rumours import NewsQueue
-from celeryfold.fleet.zmq_link import ZmqLink
+from celeryfold.fleet.zmq_link import PeerKeys, ZmqLink
 from celeryfold.kernel.ids import GroupId, InstanceId, PlaceId, SlotId
 
 GONE_S = 10.0
@@ -141,3 +142,36 @@
 def test_replies_match_their_requests_and_a_closed_peer_gives_none():
     replies = trio.run(exchange, 200)
     assert replies == [number % 2 == 0 for number in range(200)] + [False]
+
+
+async def ask_with_keys(server_keys: PeerKeys, client_keys: PeerKeys) -> bool:
+    """Ask over a link with keys; tell whether a reply came."""
+    async with trio.open_nursery() as nursery:
+        server = ZmqLink("127.0.0.1", 0, keys=server_keys)
+        client = ZmqLink("127.0.0.1", 0, keys=client_keys)
+
+        async def answer(message: CheckSlot) -> CheckSlotReply:
+            return CheckSlotReply(True)
+
+        server.on(CheckSlot, answer)
+        await server.start(nursery)
+        await client.start(nursery)
+        try:
+            address = f"127.0.0.1:{server.port}"
+            await client.request(address, CheckSlot(SlotId("s")), 1.0)
+            replied = True
+        except PeerUnreachable:
+            replied = False
+        await client.close()
+        await server.close()
+        nursery.cancel_scope.cancel()
+    return replied
+
+
+def test_links_with_the_fleets_keys_talk_and_others_do_not():
+    ours = PeerKeys(*zmq.curve_keypair())
+    theirs = PeerKeys(*zmq.curve_keypair())
+    mixed = PeerKeys(ours.public, theirs.secret)
+    assert trio.run(ask_with_keys, ours, ours)
+    assert not trio.run(ask_with_keys, ours, theirs)
+    assert not trio.run(ask_with_keys, ours, mixed)
--- a/celeryfold/wire/tests/test_answers.py
+++ b/celeryfold/wire/tests/test_answers.py
@@ -4,6 +4,7 @@
 
 import pytest
 import trio
+import trio.testing
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -159,33 +160,48 @@
     assert trio.run(send_raw, data)[9:12] == status
 
 
-async def stop_during_request(linger_s: float) -> list[bytes]:
-    """Stop a server while a request is in progress and another follows."""
+async def stop_during_request() -> list[bytes | None]:
+    """Shut a server down while a request is in progress; return its answer."""
     release = trio.Event()
+    answers: list[bytes | None] = []
 
     class SlowHandler(ConnectionHandler):
         async def handle(self, request: HttpRequest) -> HttpResponse:
             await release.wait()
             return HttpResponse(200, request.path.encode())
 
-    answers: list[bytes] = []
-    async with trio.open_nursery() as nursery:
-        server = HttpServer("127.0.0.1", 0, SlowHandler)
-        await server.start(nursery)
-
-        async def ask() -> None:
-            client = HttpClient(f"127.0.0.1:{server.port}")
+    async def ask(port: int) -> None:
+        client = HttpClient(f"127.0.0.1:{port}")
+        try:
             answers.append((await client.request("GET", "/slow")).body)
-            await client.close()
+        except Unanswered:
+            answers.append(None)
+        await client.close()
 
-        nursery.start_soon(ask)
-        await trio.testing.wait_all_tasks_blocked(0.05)
+    async def shut_down(server: HttpServer, serving: trio.Nursery) -> None:
         await server.stop_accepting()
-        release.set()
         await server.wait_idle()
-        await server.close()
+        serving.cancel_scope.cancel()
+
+    async with trio.open_nursery() as nursery:
+        async with trio.open_nursery() as serving:
+            server = HttpServer("127.0.0.1", 0, SlowHandler)
+            await server.start(serving)
+            nursery.start_soon(ask, server.port)
+            await trio.testing.wait_all_tasks_blocked(0.02)
+            nursery.start_soon(shut_down, server, serving)
+            await trio.testing.wait_all_tasks_blocked()
+            release.set()
     return answers
 
 
 def test_a_stopping_server_answers_what_runs():
-    assert trio.run(stop_during_request, 0.0) == [b"/slow"]
+    assert trio.run(stop_during_request) == [b"/slow"]
+
+
+def test_finishing_needs_the_wait(monkeypatch):
+    async def go_on(self) -> None:
+        return
+
+    monkeypatch.setattr(HttpServer, "wait_idle", go_on)
+    assert trio.run(stop_during_request) == [None]
