Follow a request by one id, write report pages, fetch state from near peers first

Cause: each try of a request had an id of its own and refusals carried none; reports were JSON; and after a cut between regions every instance would have fetched the other side's state over the paid link.

--- a/celeryfold/commands/bench.py
+++ b/celeryfold/commands/bench.py
@@ -40,7 +40,9 @@
         return 0
     report = MEASURES.find(measure)().run(deployment, seed)
     if report_file is not None:
-        report_file.write_bytes(msgspec.json.format(msgspec.json.encode(report)))
+        from ..bench.pages import write_page
+
+        write_page(report, report_file)
     if as_json:
         click.echo(msgspec.json.encode(report).decode())
     else:
--- a/celeryfold/entry/entry.py
+++ b/celeryfold/entry/entry.py
@@ -27,6 +27,7 @@
 from ..kernel.ids import (
     GroupId,
     Position,
+    RequestId,
     ServiceId,
     SlotId,
     Term,
@@ -87,6 +88,7 @@
     ) -> StatementResponse:
         """Serve one statement outside a transaction."""
         began = trio.current_time()
+        request_id = make_request_id()
         service = self._find_service(service_name)
         group = self._ports.find_catalog().find_group(service, request.key)
         seen = self._tokens.read(request.session)
@@ -95,12 +97,19 @@
         self._metrics.count(f"entry.{request.mode.value}")
         try:
             if request.mode is Mode.READ:
-                answer = await self._read(service, group, request, seen, deadline)
+                answer = await self._read(
+                    service, group, request, seen, deadline, request_id
+                )
             else:
-                answer = await self._write(service, group, request, deadline)
+                answer = await self._write(
+                    service, group, request, deadline, request_id
+                )
+                self._timeline.add(
+                    EventKind.WRITE_ACKNOWLEDGED, group.name, "", request_id
+                )
                 seen = self._tokens.add(seen, group.name, answer.term, answer.position)
         except RequestFailure as failure:
-            self._note_failure(failure, group.name)
+            self._note_failure(failure, group.name, request_id)
             raise
         finally:
             self._metrics.time("entry.request", trio.current_time() - began)
@@ -117,10 +126,16 @@
             answer.replayed,
         )
 
-    def _note_failure(self, failure: RequestFailure, group: GroupId) -> None:
+    def _note_failure(
+        self, failure: RequestFailure, group: GroupId, request_id: RequestId
+    ) -> None:
+        failure.request_id = request_id
         self._metrics.count(f"entry.failed.{failure.kind.value}")
+        kind = EventKind.REQUEST_REFUSED
         if failure.kind is ErrorKind.OUTCOME_UNKNOWN:
-            self._timeline.add(EventKind.OUTCOME_UNKNOWN, group, failure.message)
+            kind = EventKind.OUTCOME_UNKNOWN
+        detail = f"{failure.kind.value}: {failure.message}"
+        self._timeline.add(kind, group, detail, request_id)
 
     def _find_service(self, name: ServiceId) -> Service:
         catalog = self._ports.find_catalog()
@@ -140,6 +155,7 @@
         request: StatementRequest,
         seen: Seen,
         deadline: float,
+        request_id: RequestId,
     ) -> StatementAnswer:
         rule = self._ports.find_catalog().read_rules[service.read_rule]
         accepted_ms = request.accepted_age_ms
@@ -155,7 +171,7 @@
                 break
             is_last = rank == len(candidates) - 1
             message = RunRead(
-                make_request_id(),
+                request_id,
                 service.name,
                 group.name,
                 slot,
@@ -192,6 +208,7 @@
         group: UpstreamGroup,
         request: StatementRequest,
         deadline: float,
+        request_id: RequestId,
     ) -> StatementAnswer:
         _check_key(request.idempotency_key)
         key = request.idempotency_key
@@ -199,7 +216,7 @@
 
         def make_message(budget_s: float) -> RunWrite:
             return RunWrite(
-                make_request_id(),
+                request_id,
                 service.name,
                 group.name,
                 Statement(request.statement, request.parameters),
--- a/celeryfold/exceptions.py
+++ b/celeryfold/exceptions.py
@@ -31,3 +31,4 @@
         self.kind = kind
         self.message = message
         self.retry_after_s = retry_after_s
+        self.request_id = ""
--- a/celeryfold/fleet/membership.py
+++ b/celeryfold/fleet/membership.py
@@ -15,7 +15,7 @@
 
 from ..exceptions import CeleryfoldError
 from ..kernel.events import EventKind, Timeline
-from ..kernel.ids import InstanceId
+from ..kernel.ids import InstanceId, PlaceId
 from ..kernel.metrics import Metrics
 from .link import PeerLink
 from .members import Member, MemberNews, MemberState, News
@@ -267,7 +267,7 @@
 
     async def _probe(self, peer: Member) -> None:
         about = () if peer.state is MemberState.ALIVE else (MemberNews(peer),)
-        if await self._reach(peer.address, about):
+        if await self._reach(peer.address, about, peer.place):
             return
         if peer.state is MemberState.DEAD or await self._reach_through_others(peer):
             return
@@ -276,10 +276,16 @@
             suspect = msgspec.structs.replace(known, state=MemberState.SUSPECT)
             await self.hear((MemberNews(suspect),))
 
-    async def _reach(self, address: str, about: tuple[MemberNews, ...] = ()) -> bool:
+    async def _reach(
+        self,
+        address: str,
+        about: tuple[MemberNews, ...] = (),
+        place: PlaceId | None = None,
+    ) -> bool:
         """Probe an address, telling it what is said of it.
 
         :param about: news of the probed member itself, for it to refute.
+        :param place: where it is; with it, the states are compared.
         """
         news = (*about, *self._queue.take(len(self.members)))
         probe = Probe(news, self._knowledge.digest(), self.me.instance_id)
@@ -290,15 +296,26 @@
             return False
         if isinstance(reply, ProbeReply):
             await self.hear(reply.news)
-            await self._compare(reply.digest, address)
+            if place is not None:
+                await self._compare(reply.digest, address, place)
         return True
 
-    async def _compare(self, digest: int, address: str) -> None:
+    async def _compare(self, digest: int, address: str, place: PlaceId) -> None:
+        """Fetch a peer's state where it stays different from ours.
+
+        Of a place that differs from another, about one instance a round fetches; the
+        others hear from it what was new, so that a whole place does not ask at once.
+        """
         if digest == self._knowledge.digest():
             self._n_mismatches = 0
             return
-        self._n_mismatches += 1
-        if self._n_mismatches >= N_MISMATCHES_UNTIL_FETCH:
+        if place == self.me.place:
+            self._n_mismatches += 1
+            is_due = self._n_mismatches >= N_MISMATCHES_UNTIL_FETCH
+        else:
+            n_here = sum(m.place == self.me.place for m in self.usable())
+            is_due = self.rng.random() < 1.0 / max(1, n_here)
+        if is_due:
             self._n_mismatches = 0
             self._metrics.count("fleet.state_fetched")
             await self._fetch_state(address)
--- a/celeryfold/fleet/tests/test_membership.py
+++ b/celeryfold/fleet/tests/test_membership.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+import msgspec
 import trio
 import zmq
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from celeryfold.bench.crowd import make_small_world
 from celeryfold.bench.world import World, run_world
+from celeryfold.conftest import count_examples
 from celeryfold.fleet.link import PeerUnreachable
 from celeryfold.fleet.members import Member, MemberNews, MemberState
-from celeryfold.fleet.messages import CheckSlot, CheckSlotReply
+from celeryfold.fleet.messages import CheckSlot, CheckSlotReply, decode_envelope
 from celeryfold.fleet.rumours import NewsQueue
 from celeryfold.fleet.zmq_link import PeerKeys, ZmqLink
 from celeryfold.kernel.ids import GroupId, InstanceId, PlaceId, SlotId
@@ -175,3 +179,47 @@
     assert trio.run(ask_with_keys, ours, ours)
     assert not trio.run(ask_with_keys, ours, theirs)
     assert not trio.run(ask_with_keys, ours, mixed)
+
+
+@given(st.binary(max_size=200))
+def test_garbage_is_no_envelope(data):
+    try:
+        decode_envelope(data)
+    except msgspec.DecodeError:
+        return
+
+
+async def throw_garbage(frames: list[list[bytes]]) -> bool:
+    """Send garbage to a link; tell whether it still answers."""
+    context = zmq.Context()
+    rogue = context.socket(zmq.DEALER)
+    rogue.linger = 0
+    async with trio.open_nursery() as nursery:
+        server = ZmqLink("127.0.0.1", 0)
+        client = ZmqLink("127.0.0.1", 0)
+
+        async def answer(message: CheckSlot) -> CheckSlotReply:
+            return CheckSlotReply(True)
+
+        server.on(CheckSlot, answer)
+        await server.start(nursery)
+        await client.start(nursery)
+        rogue.connect(f"tcp://127.0.0.1:{server.port}")
+        for parts in frames:
+            rogue.send_multipart(parts)
+        address = f"127.0.0.1:{server.port}"
+        reply = await client.request(address, CheckSlot(SlotId("s")), 5.0)
+        await client.close()
+        await server.close()
+        nursery.cancel_scope.cancel()
+    context.destroy(linger=0)
+    return reply.reached
+
+
+frames = st.lists(st.lists(st.binary(max_size=40), min_size=1, max_size=4), max_size=8)
+
+
+@settings(max_examples=count_examples(20, 300))
+@given(frames)
+def test_garbage_between_instances_harms_nobody(garbage):
+    assert trio.run(throw_garbage, garbage)
--- a/celeryfold/home/home.py
+++ b/celeryfold/home/home.py
@@ -10,6 +10,7 @@
 from ..groups.book import RecordBook
 from ..groups.freshness import Sample
 from ..groups.sampling import SampleDesk, SampleTaker
+from ..kernel.events import Timeline
 from ..kernel.ids import GroupId, SlotId
 from ..kernel.metrics import Metrics
 from .messages import TakeSample, TakeSampleReply
@@ -26,7 +27,13 @@
 class Home:
     """Own the pools of this instance and what runs on them."""
 
-    def __init__(self, ports: HomePorts, book: RecordBook, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        ports: HomePorts,
+        book: RecordBook,
+        timeline: Timeline,
+        metrics: Metrics,
+    ) -> None:
         self._ports = ports
         self._book = book
         self._metrics = metrics
@@ -36,7 +43,7 @@
         self._takers: dict[GroupId, SampleTaker] = {}
         self._desks: dict[GroupId, SampleDesk] = {}
         self.writer = Writer(
-            ports, book, metrics, self._find_pool, self._find_acknowledgements
+            ports, book, timeline, metrics, self._find_pool, self._find_acknowledgements
         )
         self.reader = Reader(ports, book, metrics, self._find_pool, self._find_desk)
         self.transactions = Transactions(ports, self.writer, self._find_pool)
--- a/celeryfold/home/writes.py
+++ b/celeryfold/home/writes.py
@@ -13,6 +13,7 @@
 from ..groups.book import RecordBook
 from ..groups.record import GroupRecord
 from ..kernel.errors import ErrorKind
+from ..kernel.events import EventKind, Timeline
 from ..kernel.ids import GroupId, Position, Term
 from ..kernel.metrics import Metrics
 from ..platform.slot import BatchAnswer, ResultSet
@@ -38,12 +39,14 @@
         self,
         ports: HomePorts,
         book: RecordBook,
+        timeline: Timeline,
         metrics: Metrics,
         find_pool: Callable[[str], SlotPool],
         find_acknowledgements: Callable[[GroupId], Acknowledgements],
     ) -> None:
         self._ports = ports
         self._book = book
+        self._timeline = timeline
         self._metrics = metrics
         self._find_pool = find_pool
         self._find_acknowledgements = find_acknowledgements
@@ -82,6 +85,10 @@
             await pool.release(lease, shape)
         self._metrics.count("home.replayed", int(is_replay))
         await self.confirm(request.group, answer.term, answer.position, deadline)
+        detail = f"term {answer.term} position {answer.position} at {record.primary}"
+        self._timeline.add(
+            EventKind.WRITE_CONFIRMED, request.group, detail, request.request_id
+        )
         return StatementAnswer(
             request.request_id,
             result,
--- a/celeryfold/instance.py
+++ b/celeryfold/instance.py
@@ -100,7 +100,7 @@
         self.placement = Placement(self.find_catalog)
         self.membership.watch(self.placement)
         self.watcher = Watcher(platform, self.membership, self.knowledge, timeline)
-        self.home = Home(self, self.book, metrics)
+        self.home = Home(self, self.book, timeline, metrics)
         router = Router(
             me.place,
             self.find_catalog,
--- a/celeryfold/kernel/events.py
+++ b/celeryfold/kernel/events.py
@@ -34,6 +34,7 @@
     STORE_DOWN = "store_down"
     STORE_UP = "store_up"
     WRITE_ACKNOWLEDGED = "write_acknowledged"
+    WRITE_CONFIRMED = "write_confirmed"
     OUTCOME_UNKNOWN = "outcome_unknown"
     REQUEST_REFUSED = "request_refused"
 
@@ -89,6 +90,7 @@
         self.process = process
         self.clock = clock or HybridClock()
         self._events: deque[Event] = deque(maxlen=N_EVENTS_KEPT)
+        self._requests: deque[Event] = deque(maxlen=N_EVENTS_KEPT)
 
     def add(
         self,
@@ -97,16 +99,22 @@
         detail: str = "",
         request_id: str = "",
     ) -> None:
-        """Append an event stamped now."""
+        """Append an event stamped now.
+
+        Events of requests have a ring of their own, so that they do not push changes of
+        state out.
+        """
         stamp_ms, tick = self.clock.advance()
         event = Event(stamp_ms, tick, self.process, kind, subject, detail, request_id)
-        self._events.append(event)
+        kept = self._requests if request_id else self._events
+        kept.append(event)
 
     def read(self, subject: str = "", request_id: str = "") -> list[Event]:
         """Return the kept events, oldest first, that match the filters."""
+        kept = merge_events([self._events, self._requests])
         return [
             event
-            for event in self._events
+            for event in kept
             if (not subject or event.subject == subject)
             and (not request_id or event.request_id == request_id)
         ]
--- a/celeryfold/wire/answers.py
+++ b/celeryfold/wire/answers.py
@@ -21,6 +21,7 @@
     message: str
     ran: Ran
     retry_after_ms: int | None = None
+    request_id: str = ""
 
 
 def make_failure_body(failure: RequestFailure) -> FailureBody:
@@ -32,7 +33,13 @@
     retry_after_ms = None
     if retry_after_s is not None:
         retry_after_ms = int(retry_after_s * 1000)
-    return FailureBody(failure.kind.value, failure.message, answer.ran, retry_after_ms)
+    return FailureBody(
+        failure.kind.value,
+        failure.message,
+        answer.ran,
+        retry_after_ms,
+        failure.request_id,
+    )
 
 
 def make_failure_response(failure: RequestFailure) -> HttpResponse:
--- a/celeryfold/wire/tests/test_answers.py
+++ b/celeryfold/wire/tests/test_answers.py
@@ -205,3 +205,34 @@
 
     monkeypatch.setattr(HttpServer, "wait_idle", go_on)
     assert trio.run(stop_during_request) == [None]
+
+
+async def drip(n_bytes: int) -> tuple[float, bytes]:
+    """Send a request a byte a second; return when the server ended it, and how."""
+    server = HttpServer("127.0.0.1", 0, EchoHandler)
+    ours, theirs = trio.testing.memory_stream_pair()
+    began = trio.current_time()
+    received = b""
+
+    async def send() -> None:
+        for byte in (b"POST / HTTP/1.1\r\nHost: x\r\n" * 9)[:n_bytes]:
+            try:
+                await ours.send_all(bytes([byte]))
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                return
+            await trio.sleep(1.0)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(server._serve, theirs)
+        nursery.start_soon(send)
+        async for part in ours:
+            received += part
+        nursery.cancel_scope.cancel()
+    return trio.current_time() - began, received
+
+
+def test_a_slow_client_is_ended_after_its_time():
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    seconds, received = trio.run(drip, 200, clock=clock)
+    assert seconds <= 15.0
+    assert received == b""
