Check silent connections all at once and aside

Cause: after one connection went silent each next request checked the resting ones in turn, 0.3 s each: with twelve of them a keyed write with 2 s to go ended unknown (test_one_silent_connection_makes_the_others_suspect, red before, green after).

Ruled out: a shorter check, which would take slow slots for silent ones.

Now: suspects are checked at the same time in the background, while new work opens new connections; the slot's limit holds all the while (test_limits_hold_while_homes_come_and_go).

--- a/celeryfold/home/pool.py
+++ b/celeryfold/home/pool.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from ..exceptions import RequestFailure
+from ..exceptions import CeleryfoldError, RequestFailure
 from ..kernel.errors import ErrorKind
 from ..kernel.ids import ServiceId
 from ..kernel.metrics import Metrics
@@ -37,10 +37,9 @@
 
 
 class _Idle:
-    def __init__(self, connection: Connection, epoch: int) -> None:
+    def __init__(self, connection: Connection) -> None:
         self.connection = connection
         self.since = trio.current_time()
-        self.epoch = epoch
 
 
 class SlotPool:
@@ -67,7 +66,6 @@
         self._metrics = metrics
         self._idle: list[_Idle] = []
         self._running: set[Lease] = set()
-        self._epoch = 0
         self._nursery = nursery
         self._is_mine = is_mine
         self._is_growing = False
@@ -122,36 +120,48 @@
                 self.suspect_idle()
                 await self._close(lease.connection)
             elif self.queue.n_waiting or self._is_mine():
-                self._idle.append(_Idle(lease.connection, self._epoch))
+                self._idle.append(_Idle(lease.connection))
             else:
                 await self._close(lease.connection)
         finally:
             self.queue.release(lease.ticket)
 
     def suspect_idle(self) -> None:
-        """Check every idle connection before its next use.
+        """Check every resting connection before it is used again.
 
-        One connection that went silent makes the others suspect.
+        One connection that went silent makes the others suspect. They are checked all
+        at once and aside, while new work opens new ones.
         """
-        self._epoch += 1
+        suspects = self._idle
+        self._idle = []
+        for idle in suspects:
+            self._nursery.start_soon(self._recheck, idle)
+
+    async def _recheck(self, idle: _Idle) -> None:
+        if await self._is_live(idle.connection):
+            self._idle.append(_Idle(idle.connection))
+        else:
+            self._metrics.count("home.silent_connection")
+            await self._close(idle.connection)
 
     async def _find_connection(self, deadline: float) -> Connection:
         while self._idle:
             idle = self._idle.pop()
-            if await self._is_live(idle):
+            if trio.current_time() - idle.since < CHECK_IDLE_AFTER_S:
+                return idle.connection
+            if await self._is_live(idle.connection):
                 return idle.connection
             self._metrics.count("home.silent_connection")
+            self.suspect_idle()
             await self._close(idle.connection)
         return await self._open(deadline)
 
-    async def _is_live(self, idle: _Idle) -> bool:
-        rested_s = trio.current_time() - idle.since
-        if idle.epoch == self._epoch and rested_s < CHECK_IDLE_AFTER_S:
-            return True
+    @staticmethod
+    async def _is_live(connection: Connection) -> bool:
         with trio.move_on_after(CHECK_TIMEOUT_S) as scope:
             try:
-                await idle.connection.rollback()
-            except Exception:
+                await connection.rollback()
+            except CeleryfoldError:
                 return False
         return not scope.cancelled_caught
 
@@ -194,7 +204,7 @@
                 except (ConnectionRefused, SlotUnreachable):
                     await trio.sleep(GROW_PAUSE_S)
                     continue
-                self._idle.append(_Idle(connection, self._epoch))
+                self._idle.append(_Idle(connection))
                 self.queue.resize(min(self.limit, max(1, self.n_open)))
         finally:
             self._is_growing = False
--- /dev/null
+++ b/celeryfold/home/tests/test_pool.py
@@ -0,0 +1,84 @@
+"""Pools: silent connections, limits, handover."""
+
+from __future__ import annotations
+
+import itertools
+
+import pytest
+import trio
+
+from celeryfold.bench.crowd import SERVICE, SMALL_WORKLOAD, Crowd, make_small_world
+from celeryfold.bench.world import World, run_world
+from celeryfold.entry.requests import Mode, StatementRequest, StatementResponse
+from celeryfold.home.pool import SlotPool
+from celeryfold.kernel.ids import GroupId, InstanceId, PlaceId
+
+pytestmark = pytest.mark.proof
+
+N_WARM = 12
+DEADLINE_MS = 2000
+
+
+def make_write(crowd: Crowd, marker: str) -> StatementRequest:
+    """Return a keyed write to the first group."""
+    owners = (f"owner-{n}" for n in itertools.count())
+    owner = next(o for o in owners if crowd.find_group(o) == "g1")
+    return StatementRequest(
+        SMALL_WORKLOAD.insert,
+        (marker, owner, ""),
+        key=owner,
+        mode=Mode.WRITE,
+        idempotency_key=marker,
+        deadline_ms=DEADLINE_MS,
+    )
+
+
+async def write_after_silence(world: World) -> bool:
+    """Open many connections, let all go silent, write once; tell whether it ran."""
+    crowd = Crowd(world)
+    door = world.make_doors()[0]
+    async with trio.open_nursery() as nursery:
+        for number in range(N_WARM):
+            request = make_write(crowd, f"warm-{number}")
+            nursery.start_soon(door.send, SERVICE, request)
+    primary = world.find_record(GroupId("g1")).primary
+    world.slots[primary].faults.n_silences += 1
+    answer = await door.send(SERVICE, make_write(crowd, "after"))
+    return isinstance(answer, StatementResponse)
+
+
+def test_one_silent_connection_makes_the_others_suspect():
+    assert run_world(make_small_world(), write_after_silence)
+
+
+def test_a_write_after_silence_needs_the_suspicion(monkeypatch):
+    monkeypatch.setattr(SlotPool, "suspect_idle", lambda self: None)
+    assert not run_world(make_small_world(), write_after_silence)
+
+
+async def change_homes(world: World) -> float:
+    """Let homes come and go under load; return the most connections, of the limit."""
+    crowd = Crowd(world)
+
+    async def churn() -> None:
+        for number, name in enumerate(("i2", "i3", "i2")):
+            await trio.sleep(1.5)
+            world.kill(InstanceId(name))
+            await trio.sleep(0.5)
+            await world.start_instance(InstanceId(name), PlaceId("a2"))
+            new = InstanceId(f"n{number}")
+            await world.start_instance(new, PlaceId("a1"))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(churn)
+        await crowd.run()
+    await crowd.settle()
+    assert crowd.judge().is_good
+    return max(
+        slot.n_connections_peak / slot.shape.connection_limit
+        for slot in world.slots.values()
+    )
+
+
+def test_limits_hold_while_homes_come_and_go():
+    assert run_world(make_small_world(), change_homes) <= 1.0
