Recover a group whose confirming slots are all lost, by an operator's word

Cause: such a group had no primary for ever; nothing may be promoted by itself there.

Now: `celeryfold recover` names what is given up and changes nothing unless told to.

--- a/celeryfold/__main__.py
+++ b/celeryfold/__main__.py
@@ -99,6 +99,18 @@
     sys.exit(command.run(folder, store, based_on))
 
 
+@main.command()
+@click.argument("group")
+@click.option("--slot", required=True, help="The slot that is to lead.")
+@click.option("--store", required=True, help="IP number and port of the store.")
+@click.option("--give-up", is_flag=True, help="Accept the loss that is named.")
+def recover(group: str, slot: str, store: str, give_up: bool) -> None:
+    """Give a group a primary although no slot holds every write."""
+    from .commands import recover as command
+
+    sys.exit(command.run(group, slot, store, give_up))
+
+
 @main.command()
 @click.option("--operator", required=True, help="Operator address of an instance.")
 @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
--- /dev/null
+++ b/celeryfold/commands/recover.py
@@ -0,0 +1,63 @@
+"""The command ``recover``."""
+
+from __future__ import annotations
+
+__all__ = ["run"]
+
+import click
+import msgspec
+import trio
+
+from ..config.objects import Catalog
+from ..config.publishing import load_current
+from ..exceptions import BadInput
+from ..groups.book import KEY_PREFIX
+from ..groups.record import GroupRecord
+from ..groups.recovery import describe_loss, propose_recovery
+from ..kernel.ids import GroupId, SlotId
+from ..platform.http_slot import HttpSlot
+from ..platform.http_store import HttpStore
+from ..platform.slot import SlotUnreachable
+from ..platform.store import StoreConflict, StoreUnavailable
+
+
+async def _recover(group: GroupId, slot: SlotId, address: str, is_sure: bool) -> int:
+    store = HttpStore(address)
+    try:
+        entry = await store.get(KEY_PREFIX + group)
+        objects = await load_current(store)
+    except StoreUnavailable as error:
+        raise BadInput(f"--store {address}: {error}; check the address") from error
+    if entry is None or objects is None:
+        raise BadInput(f"{group}: the store has no record of it; check the name")
+    definition = Catalog(objects).slots.get(slot)
+    if definition is None:
+        raise BadInput(f"--slot {slot}: is not defined; check the name")
+    record = msgspec.json.decode(entry.value, type=GroupRecord)
+    try:
+        status = await HttpSlot(slot, definition.address).fetch_status()
+    except SlotUnreachable as error:
+        raise BadInput(f"--slot {slot}: {error}; choose one that answers") from error
+    loss = describe_loss(record, slot, status)
+    click.echo(loss.text)
+    if not loss.is_needed:
+        return 0
+    if not is_sure:
+        click.echo("nothing was changed; give --give-up to go on")
+        return 1
+    value = msgspec.json.encode(propose_recovery(record, slot, status))
+    try:
+        await store.compare_and_swap(entry.key, entry.revision, value)
+    except StoreConflict:
+        click.echo("the record has changed meanwhile; look again", err=True)
+        return 1
+    except StoreUnavailable:
+        click.echo("the outcome is not known; run status", err=True)
+        return 1
+    click.echo(f"{slot} is to lead {group}; its guardian orders it now")
+    return 0
+
+
+def run(group: str, slot: str, store: str, is_sure: bool) -> int:
+    """Make a slot primary at the price of writes; return the exit code."""
+    return trio.run(_recover, GroupId(group), SlotId(slot), store, is_sure)
--- a/celeryfold/config/publishing.py
+++ b/celeryfold/config/publishing.py
@@ -10,6 +10,7 @@
     "Unavailable",
     "find_differences",
     "load_blob",
+    "load_current",
     "publish",
     "read_pointer",
 ]
@@ -158,6 +159,15 @@
     return Conflict(pointer, find_differences(objects, theirs))
 
 
+async def load_current(store: Store) -> ObjectSet | None:
+    """Return the set in force, or None where none was published.
+
+    :raises StoreUnavailable: where the store does not answer.
+    """
+    pointer = read_pointer(await store.get(CURRENT_KEY))
+    return await _load_set(store, pointer.digest) if pointer else None
+
+
 async def _load_set(store: Store, digest: str) -> ObjectSet | None:
     head = await load_blob(store, digest)
     if head is None:
