--- a/celeryfold/bench/failover.py
+++ b/celeryfold/bench/failover.py
@@ -17,6 +17,7 @@
 from .world import World, WorldShape, run_world
 
 N_SEEDS = 20
+FAULTS = ("alone", "guardian dead", "store slow", "place lost")
 WRITE_EVERY_S = 0.02
 READ_EVERY_S = 0.02
 READ_AGE_S = 10.0
@@ -85,6 +86,19 @@
             self.world.kill(InstanceId(ranked[0].instance_id))
         elif self.fault == "store slow":
             self.world.store.faults.delay_s = STORE_DELAY_S
+        elif self.fault == "place lost":
+            self._lose_place()
+
+    def _lose_place(self) -> None:
+        """Lose every instance and slot of the primary's place; not the platform."""
+        record = self.world.find_record(self.group)
+        place = self.world.network.places[record.primary]
+        for name in list(self.world.instances):
+            if self.world.network.places[name] == place:
+                self.world.kill(name)
+        for slot in self.world.slots:
+            if self.world.network.places[slot] == place:
+                self.world.network.cut(slot)
 
     async def _write_on(self, nursery: trio.Nursery) -> None:
         number = 0
@@ -147,7 +161,7 @@
         seeds = range(seed, seed + N_SEEDS)
         figures: Figures = {}
         series: dict[str, list[float]] = {}
-        for fault in ("alone", "guardian dead", "store slow"):
+        for fault in FAULTS:
             gaps = []
             shares = []
             for number in seeds:
@@ -178,7 +192,7 @@
             baseline,
             figures,
             ratio,
-            4 * N_SEEDS,
+            (len(FAULTS) + 1) * N_SEEDS,
             series,
         )
 
