Name modules by plain nouns and put the doors beside the instance that they open

Cause: entry/door.py imported the instance, which imports the entry; rumours, running, watching and sending needed explaining.

--- a/celeryfold/bench/processes.py
+++ b/celeryfold/bench/processes.py
@@ -19,7 +19,7 @@
 
 from ..config.objects import Catalog, ObjectSet
 from ..config.publishing import publish
-from ..entry.door import InstanceReport
+from ..doors import InstanceReport
 from ..exceptions import BadInput
 from ..groups.record import GroupRecord
 from ..home.outcomes import OUTCOME_TABLE
--- a/celeryfold/commands/status.py
+++ b/celeryfold/commands/status.py
@@ -8,7 +8,7 @@
 import msgspec
 import trio
 
-from ..entry.door import InstanceReport
+from ..doors import InstanceReport
 from ..exceptions import BadInput
 from ..wire.client import HttpClient, Unanswered, Unreachable
 
--- a/celeryfold/daemon.py
+++ b/celeryfold/daemon.py
@@ -13,7 +13,7 @@
 
 from .config.objects import SlotDefinition
 from .config.settings import InstanceSettings
-from .entry.door import CallerHandler, OperatorHandler
+from .doors import CallerHandler, OperatorHandler
 from .exceptions import BadInput
 from .fleet.members import Member
 from .fleet.zmq_link import PeerKeys, ZmqLink
--- a/celeryfold/entry/door.py
+++ b/celeryfold/doors.py
@@ -2,28 +2,28 @@
 
 from __future__ import annotations
 
-__all__ = ["CallerHandler", "OperatorHandler"]
+__all__ = ["CallerHandler", "InstanceReport", "OperatorHandler"]
 
 from urllib.parse import parse_qs, unquote
 
 import msgspec
 
-from ..exceptions import RequestFailure
-from ..fleet.members import Member
-from ..groups.book import KnownRecord
-from ..instance import Instance
-from ..kernel.errors import ErrorKind
-from ..kernel.events import Event
-from ..kernel.ids import ServiceId, SlotId
-from ..wire.messages import HttpRequest, HttpResponse
-from ..wire.server import ConnectionHandler
-from .requests import (
+from .entry.requests import (
     BeginRequest,
     CancelRequest,
     FinishRequest,
     StatementRequest,
     decode_body,
 )
+from .exceptions import RequestFailure
+from .fleet.members import Member
+from .groups.book import KnownRecord
+from .instance import Instance
+from .kernel.errors import ErrorKind
+from .kernel.events import Event
+from .kernel.ids import ServiceId, SlotId
+from .wire.messages import HttpRequest, HttpResponse
+from .wire.server import ConnectionHandler
 
 
 class CallerHandler(ConnectionHandler):
--- a/celeryfold/entry/entry.py
+++ b/celeryfold/entry/entry.py
@@ -47,7 +47,7 @@
 )
 from .retries import RetryBudget
 from .router import Router
-from .sending import EntryPorts, Sender, join_transaction, split_transaction
+from .sender import EntryPorts, Sender, join_transaction, split_transaction
 from .sessions import Seen, SessionTokens
 
 MIN_ATTEMPT_S = 0.3
--- a/celeryfold/fleet/membership.py
+++ b/celeryfold/fleet/membership.py
@@ -27,7 +27,7 @@
     ProbeReply,
     Tell,
 )
-from .rumours import NewsQueue
+from .news import NewsQueue
 
 log = logging.getLogger(__name__)
 
--- a/celeryfold/fleet/tests/test_membership.py
+++ b/celeryfold/fleet/tests/test_membership.py
@@ -14,7 +14,7 @@
 from celeryfold.fleet.link import PeerUnreachable
 from celeryfold.fleet.members import Member, MemberNews, MemberState
 from celeryfold.fleet.messages import CheckSlot, CheckSlotReply, decode_envelope
-from celeryfold.fleet.rumours import NewsQueue
+from celeryfold.fleet.news import NewsQueue
 from celeryfold.fleet.zmq_link import PeerKeys, ZmqLink
 from celeryfold.kernel.ids import GroupId, InstanceId, PlaceId, SlotId
 
--- a/celeryfold/home/reads.py
+++ b/celeryfold/home/reads.py
@@ -15,10 +15,10 @@
 from ..kernel.ids import GroupId, Position, SlotId, Term
 from ..kernel.metrics import Metrics
 from ..platform.slot import BatchAnswer
+from .batches import run_batch
 from .messages import RunRead, StatementAnswer
 from .pool import SlotPool
 from .ports import HomePorts
-from .running import run_batch
 
 CATCH_UP_STEP_S = 0.005
 
--- a/celeryfold/home/transactions.py
+++ b/celeryfold/home/transactions.py
@@ -20,11 +20,11 @@
     TransactionId,
 )
 from ..platform.slot import ResultSet, Statement
+from .batches import run_batch
 from .messages import Begin, BeginReply, Finish, RunInTransaction, StatementAnswer
 from .outcomes import insert_outcome
 from .pool import Lease, SlotPool
 from .ports import HomePorts
-from .running import run_batch
 from .writes import Writer
 
 IDLE_LIMIT_S = 10.0
--- a/celeryfold/home/writes.py
+++ b/celeryfold/home/writes.py
@@ -17,6 +17,7 @@
 from ..kernel.ids import GroupId, Position, Term
 from ..kernel.metrics import Metrics
 from ..platform.slot import BatchAnswer, ResultSet
+from .batches import run_batch
 from .messages import CancelKey, RunWrite, StatementAnswer
 from .outcomes import (
     CANCELLED,
@@ -27,7 +28,6 @@
 )
 from .pool import Lease, SlotPool
 from .ports import HomePorts
-from .running import run_batch
 
 CANCEL_SHAPE = "celeryfold cancel"
 
--- a/celeryfold/instance.py
+++ b/celeryfold/instance.py
@@ -16,7 +16,7 @@
 from .config.objects import Catalog, SlotDefinition, UpstreamGroup
 from .entry.entry import Entry
 from .entry.router import Router
-from .entry.sending import EntryPorts
+from .entry.sender import EntryPorts
 from .entry.sessions import SessionTokens
 from .exceptions import CeleryfoldError, RequestFailure
 from .fleet.knowledge import Knowledge
@@ -25,7 +25,7 @@
 from .fleet.membership import Membership
 from .fleet.messages import CheckSlot, CheckSlotReply
 from .fleet.placement import Placement, find_guarded
-from .fleet.watching import Watcher
+from .fleet.watcher import Watcher
 from .groups.book import KnownRecord, RecordBook
 from .groups.freshness import Sample
 from .groups.guardian import Guardian, GuardianPorts
--- a/celeryfold/entry/tests/test_door.py
+++ b/celeryfold/tests/test_doors.py
@@ -11,7 +11,7 @@
 from celeryfold.bench.crowd import SERVICE, make_small_world
 from celeryfold.bench.world import World, run_world
 from celeryfold.conftest import count_examples
-from celeryfold.entry.door import CallerHandler
+from celeryfold.doors import CallerHandler
 from celeryfold.entry.sessions import Seen, SessionTokens
 from celeryfold.exceptions import RequestFailure
 from celeryfold.kernel.errors import ANSWERS, ErrorKind
--- a/celeryfold/tests/test_mechanisms.py
+++ b/celeryfold/tests/test_mechanisms.py
@@ -14,7 +14,7 @@
 from celeryfold.entry.requests import Mode, StatementRequest, StatementResponse
 from celeryfold.groups.acknowledgement import Acknowledgements
 from celeryfold.groups.freshness import SampleShelf
-from celeryfold.home import reads, running, writes
+from celeryfold.home import batches, reads, writes
 from celeryfold.kernel.errors import ErrorKind
 from celeryfold.kernel.ids import GroupId, InstanceId, SlotId
 from celeryfold.platform.listing import Listing
@@ -206,9 +206,9 @@
 
 def test_not_run_needs_the_unknown_outcome(monkeypatch):
     def describe(may_have_run: bool, text: str):
-        return running.RequestFailure(ErrorKind.NOT_RUN, text)
+        return batches.RequestFailure(ErrorKind.NOT_RUN, text)
 
-    monkeypatch.setattr(running, "_describe_loss", describe)
+    monkeypatch.setattr(batches, "_describe_loss", describe)
     verdict = run_world(make_small_world(), write_without_keys)
     assert verdict.n_false_not_run + verdict.n_doubled > 0
 
