Replace a link between instances that stops replying; keep fewer links and quieter

Links to peers that were probed once lived for 60 s and each sent heartbeats every second; 120 live links would send some 240 of them a second. And a link gone silent was used until its heartbeat failed.

Ruled out: probing fewer peers, which slows detection.

Now: links rest for 20 s at most and send heartbeats every 5 s; a request without a reply has the next one use a new connection. test_a_silent_link_is_replaced is red without it (test_replacing_needs_the_retirement).

--- a/celeryfold/fleet/zmq_link.py
+++ b/celeryfold/fleet/zmq_link.py
@@ -30,9 +30,9 @@
 
 MAX_MESSAGE_BYTES = 4_000_000
 N_QUEUED_MESSAGES = 10_000
-HEARTBEAT_INTERVAL_MS = 1000
-HEARTBEAT_TIMEOUT_MS = 3000
-PEER_IDLE_CLOSE_S = 60.0
+HEARTBEAT_INTERVAL_MS = 5000
+HEARTBEAT_TIMEOUT_MS = 15000
+PEER_IDLE_CLOSE_S = 20.0
 
 
 @dataclass(frozen=True)
@@ -49,6 +49,12 @@
         self.scope = trio.CancelScope()
         self.used_at = trio.current_time()
         self.n_waiting = 0
+        self.is_retired = False
+
+    def close_if_done(self) -> None:
+        """End a retired link once nobody waits on it."""
+        if self.is_retired and not self.n_waiting:
+            self.scope.cancel()
 
 
 class _Pending:
@@ -202,13 +208,27 @@
         finally:
             peer.n_waiting -= 1
             del self._pending[number]
+            peer.close_if_done()
         if not pending.done.is_set():
+            self._retire(address, peer)
             raise PeerUnreachable(f"{address} does not reply")
         if isinstance(pending.reply, FailureReply):
             reply = pending.reply
             raise RequestFailure(reply.kind, reply.message, reply.retry_after_s)
         return pending.reply
 
+    def _retire(self, address: str, peer: _Peer) -> None:
+        """Use a new connection from now on.
+
+        The old one may be silent for good while new ones work; it is kept only for
+        those who still wait on it.
+        """
+        if self._peers.get(address) is peer:
+            del self._peers[address]
+            self._metrics.count("peer.link_retired")
+        peer.is_retired = True
+        peer.close_if_done()
+
     def _connect(self, address: str) -> _Peer:
         assert self._nursery is not None
         socket = self._context.socket(zmq.DEALER)
