Let open transactions end before a test of transactions reads the database

Cause: test_transactions_never_mix failed in `make prove` for a plan that ends with an open transaction. The trace shows no mixing: the test read the stand-in's only sqlite connection while that transaction was open there, which shows its own uncommitted rows; no caller can.

Ruled out: a fault of the pool; the rows are gone once the slot has ended the idle transaction.

The check is as strict as before on all that was ended.

--- a/celeryfold/home/tests/test_transactions.py
+++ b/celeryfold/home/tests/test_transactions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+import trio
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -19,6 +20,7 @@
 GROUP = GroupId("g1")
 
 N_TRANSACTIONS = 3
+UNTIL_OPEN_ONES_END_S = 5.0
 STEPS = ["begin", "insert", "commit", "rollback", "kill", "lose"]
 Plan = list[tuple[int, str]]
 
@@ -103,6 +105,7 @@
     for slot in world.slots.values():
         slot.faults.drop_answers = 0
     await driver.crowd.settle()
+    await trio.sleep(UNTIL_OPEN_ONES_END_S)
     return driver
 
 
