--- a/celeryfold/config/check.py
+++ b/celeryfold/config/check.py
@@ -15,7 +15,7 @@
 
 from ..kernel.registry import Registry
 from ..platform.slot import SLOT_DRIVERS, Slot
-from .objects import Confirm, ObjectSet
+from .objects import Confirm, ObjectSet, Service, UpstreamGroup
 
 SECTIONS = ("places", "read_rules", "upstream_groups", "services")
 MAX_SET_BYTES = 8_000_000
@@ -92,39 +92,16 @@
     source: str = "object set",
     drivers: Registry[Slot] = SLOT_DRIVERS,
 ) -> CheckReport:
-    """Check that names are unique and that every reference is met."""
+    """Check that names are unique and that every reference is met.
+
+    :param source: what to name in each line, a folder as a rule.
+    """
     report = CheckReport()
     _check_names(objects, source, report)
-    places = {place.name: place.region for place in objects.places}
-    groups = {group.name for group in objects.upstream_groups}
-    rules = {rule.name for rule in objects.read_rules}
     for group in objects.upstream_groups:
-        for slot in group.slots:
-            field_name = f"{source}: upstream_groups.{group.name}.{slot.name}"
-            if slot.place not in places:
-                text = f"place '{slot.place}' is not defined; add it to places"
-                report.errors.append(f"{field_name}: {text}")
-            if slot.driver not in drivers.names():
-                known = ", ".join(drivers.names())
-                text = f"driver '{slot.driver}' is unknown; use one of {known}"
-                report.errors.append(f"{field_name}: {text}")
-        regions = {places.get(slot.place) for slot in group.slots}
-        if group.confirm is Confirm.ALL and len(regions) > 1:
-            text = "each write waits for the link between regions"
-            report.warnings.append(f"{source}: upstream_groups.{group.name}: {text}")
+        _check_group(group, objects, drivers, source, report)
     for service in objects.services:
-        field_name = f"{source}: services.{service.name}"
-        if service.read_rule not in rules:
-            text = f"read rule '{service.read_rule}' is not defined"
-            report.errors.append(f"{field_name}: {text}; add it to read_rules")
-        for name in service.upstream_groups:
-            if name not in groups:
-                text = f"upstream group '{name}' is not defined"
-                report.errors.append(f"{field_name}: {text}; add it")
-    used = {name for service in objects.services for name in service.upstream_groups}
-    for name in sorted(groups - used):
-        text = "no service uses this group"
-        report.warnings.append(f"{source}: upstream_groups.{name}: {text}")
+        _check_service(service, objects, source, report)
     n_bytes = len(objects.model_dump_json())
     if n_bytes > MAX_SET_BYTES:
         text = f"the set takes {n_bytes} bytes, over {MAX_SET_BYTES}; make it smaller"
@@ -132,6 +109,45 @@
     return report
 
 
+def _check_group(
+    group: UpstreamGroup,
+    objects: ObjectSet,
+    drivers: Registry[Slot],
+    source: str,
+    report: CheckReport,
+) -> None:
+    places = {place.name: place.region for place in objects.places}
+    prefix = f"{source}: upstream_groups.{group.name}"
+    for slot in group.slots:
+        if slot.place not in places:
+            text = f"place '{slot.place}' is not defined; add it to places"
+            report.errors.append(f"{prefix}.{slot.name}: {text}")
+        if slot.driver not in drivers.names():
+            known = ", ".join(drivers.names())
+            text = f"driver '{slot.driver}' is unknown; use one of {known}"
+            report.errors.append(f"{prefix}.{slot.name}: {text}")
+    regions = {places.get(slot.place) for slot in group.slots}
+    if group.confirm is Confirm.ALL and len(regions) > 1:
+        text = "each write waits for the link between regions"
+        report.warnings.append(f"{prefix}: {text}")
+    if not any(group.name in service.upstream_groups for service in objects.services):
+        report.warnings.append(f"{prefix}: no service uses this group")
+
+
+def _check_service(
+    service: Service, objects: ObjectSet, source: str, report: CheckReport
+) -> None:
+    prefix = f"{source}: services.{service.name}"
+    if all(rule.name != service.read_rule for rule in objects.read_rules):
+        text = f"read rule '{service.read_rule}' is not defined; add it to read_rules"
+        report.errors.append(f"{prefix}: {text}")
+    defined = {group.name for group in objects.upstream_groups}
+    for name in service.upstream_groups:
+        if name not in defined:
+            text = f"upstream group '{name}' is not defined; add it"
+            report.errors.append(f"{prefix}: {text}")
+
+
 def _check_names(objects: ObjectSet, source: str, report: CheckReport) -> None:
     slots = [slot.name for group in objects.upstream_groups for slot in group.slots]
     named: dict[str, list[str]] = {
--- a/celeryfold/groups/guardian.py
+++ b/celeryfold/groups/guardian.py
@@ -122,7 +122,7 @@
         if known is None:
             return
         await self._judge_primary(known.record, rank)
-        view = self._make_view(definition, rank)
+        view = self._make_view(definition)
         for action in decide(known.record, view):
             if rank == 0 or self._may_stand_in(known.record, rank):
                 await self._act(known, action)
@@ -197,7 +197,7 @@
         is_lost = agreed and silent_s >= needed_s
         self._lost = frozenset({primary}) if is_lost else frozenset()
 
-    def _make_view(self, definition: UpstreamGroup, rank: int) -> GroupView:
+    def _make_view(self, definition: UpstreamGroup) -> GroupView:
         now = trio.current_time()
         names = [slot.name for slot in definition.slots]
         mute = {
