Draw the cases of leaving slots and stopping instances at random

Now: which slot, who says so, how far the list lags and whether the store is up are drawn, and which instance stops, when, and under how many callers.

--- a/celeryfold/tests/test_mechanisms.py
+++ b/celeryfold/tests/test_mechanisms.py
@@ -4,13 +4,17 @@
 
 import itertools
 import random
+from dataclasses import dataclass, replace
 
 import pytest
 import trio
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from celeryfold.bench.crowd import SMALL_WORKLOAD, Crowd, CrowdShape, make_small_world
 from celeryfold.bench.history import History, Verdict
 from celeryfold.bench.world import LocalDoor, World, run_world
+from celeryfold.conftest import count_examples
 from celeryfold.entry.requests import Mode, StatementRequest, StatementResponse
 from celeryfold.groups.acknowledgement import Acknowledgements
 from celeryfold.groups.freshness import SampleShelf
@@ -24,6 +28,7 @@
 GROUP = GroupId("g1")
 
 G1 = SMALL_WORKLOAD.service
+LEAVES_WITHIN_S = 3.0
 
 
 def make_owner(crowd: Crowd, group: str) -> str:
@@ -232,32 +237,63 @@
     assert refused.error == ErrorKind.KEY_REUSED.value
 
 
-async def use_leaving_slot(world: World) -> int:
-    """Let a replica leave, with the store down and the list lagging; count its work."""
-    crowd = Crowd(world, CrowdShape(seconds=10.0, write_share=0.1))
-    leaving = SlotId("g1-b")
+@dataclass(frozen=True)
+class Leaving:
+    """Say which slot leaves and how that is told."""
+
+    slot: SlotId = SlotId("g1-b")
+    list_lag_s: float = 0.0
+    by_operator: bool = False
+    store_down: bool = True
+
+
+async def tell(world: World, leaving: Leaving) -> None:
+    """Tell that a slot leaves; return when the word is out."""
+    if leaving.by_operator:
+        await world.instances[InstanceId("i1")].tell_leaving(leaving.slot, True)
+        return
+    listed = world.list.read().instances
+    world.list.set(Listing(listed, (leaving.slot,)))
+    await trio.sleep(world.list.lag_s)
 
-    async def leave() -> int:
-        await trio.sleep(2.0)
-        world.store.faults.set_paused(True)
-        listed = world.list.read().instances
-        world.list.set(Listing(listed, (leaving,)))
-        await trio.sleep(world.list.lag_s + 3.0)
-        return world.slots[leaving].n_statements
 
+async def use_leaving_slot(world: World, leaving: Leaving) -> int:
+    """Let a slot leave under load; return what it ran after 3 s."""
+    crowd = Crowd(world, CrowdShape(seconds=10.0))
     counts: list[int] = []
 
-    async def note() -> None:
-        counts.append(await leave())
+    async def leave() -> None:
+        await trio.sleep(2.0)
+        world.store.faults.set_paused(leaving.store_down)
+        await tell(world, leaving)
+        await trio.sleep(LEAVES_WITHIN_S)
+        counts.append(world.slots[leaving.slot].n_statements)
 
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(note)
+        nursery.start_soon(leave)
         await crowd.run()
-    return world.slots[leaving].n_statements - counts[0]
+    return world.slots[leaving.slot].n_statements - counts[0]
+
+
+def run_leaving(leaving: Leaving) -> int:
+    """Run a world with a lagging list and a leaving slot."""
+    shape = replace(make_small_world(), list_lag_s=leaving.list_lag_s)
+    return run_world(shape, lambda world: use_leaving_slot(world, leaving))
+
 
+leavings = st.builds(
+    Leaving,
+    st.sampled_from([SlotId(f"g1-{letter}") for letter in "abc"]),
+    st.sampled_from([0.0, 1.0, 3.0]),
+    st.booleans(),
+    st.booleans(),
+)
 
-def test_a_leaving_slot_gets_no_new_work():
-    assert run_world(make_small_world(), use_leaving_slot) == 0
+
+@settings(max_examples=count_examples(12, 100))
+@given(leavings)
+def test_a_leaving_slot_gets_no_new_work(leaving):
+    assert run_leaving(leaving) == 0
 
 
 def test_leaving_needs_the_list(monkeypatch):
@@ -265,31 +301,54 @@
         return
 
     monkeypatch.setattr("celeryfold.fleet.knowledge.Knowledge.learn_listed", ignore)
-    assert run_world(make_small_world(), use_leaving_slot) > 0
+    assert run_leaving(Leaving()) > 0
 
 
-async def stop_under_load(world: World) -> list[object]:
+async def stop_under_load(
+    world: World, name: InstanceId, n_callers: int, after_s: float
+) -> list[object]:
     """Stop an instance gracefully while requests run on it."""
     owner = make_owner(Crowd(world), "g1")
     answers: list[object] = []
 
     async def write_on(number: int) -> None:
         for count in range(40):
-            door = LocalDoor(world, InstanceId("i1"))
-            if "i1" not in world.instances:
+            door = LocalDoor(world, name)
+            if name not in world.instances:
                 return
             request = make_write(f"m{number}-{count}", owner, "")
             answers.append(await door.send(G1, request))
 
     async with trio.open_nursery() as nursery:
-        for number in range(6):
+        for number in range(n_callers):
             nursery.start_soon(write_on, number)
-        await trio.sleep(0.2)
-        await world.stop(InstanceId("i1"))
+        await trio.sleep(after_s)
+        await world.stop(name)
     return answers
 
 
-def test_a_stopping_instance_finishes_what_runs():
-    answers = run_world(make_small_world(), stop_under_load)
+@settings(max_examples=count_examples(12, 200))
+@given(
+    st.sampled_from([InstanceId(f"i{n}") for n in range(1, 5)]),
+    st.integers(1, 12),
+    st.floats(0.05, 0.4),
+)
+def test_a_stopping_instance_finishes_what_runs(name, n_callers, after_s):
+    answers = run_world(
+        make_small_world(),
+        lambda world: stop_under_load(world, name, n_callers, after_s),
+    )
     assert answers
     assert [item for item in answers if item is None] == []
+
+
+def test_finishing_needs_the_drain(monkeypatch):
+    async def leave_at_once(self, drain_s: float) -> None:
+        return
+
+    monkeypatch.setattr("celeryfold.instance.Instance.leave", leave_at_once)
+    name = InstanceId("i1")
+    answers = run_world(
+        make_small_world(), lambda world: stop_under_load(world, name, 8, 0.2)
+    )
+    assert None in answers
