--- a/celeryfold/home/queue.py
+++ b/celeryfold/home/queue.py
@@ -69,14 +69,14 @@
         self._lines: dict[tuple[Lane, ServiceId], _ServiceLine] = {}
         self._virtual_s = 0.0
         self._waiting_s = {Lane.SHORT: 0.0, Lane.LONG: 0.0}
-        self._n_waiting = 0
+        self._n_waiting = {Lane.SHORT: 0, Lane.LONG: 0}
         self._peak = 0.0
         self._peak_at = 0.0
 
     @property
     def n_waiting(self) -> int:
         """How many tickets wait."""
-        return self._n_waiting
+        return sum(self._n_waiting.values())
 
     @property
     def n_long_places(self) -> int:
@@ -147,7 +147,7 @@
         line.tickets.append(ticket)
         line.waiting_s += ticket.cost_s
         self._waiting_s[ticket.lane] += ticket.cost_s
-        self._n_waiting += 1
+        self._n_waiting[ticket.lane] += 1
         self._grant()
 
     def release(self, ticket: Ticket) -> None:
@@ -182,10 +182,10 @@
     def _forget_waiting(self, line: _ServiceLine, ticket: Ticket) -> None:
         line.waiting_s -= ticket.cost_s
         self._waiting_s[ticket.lane] -= ticket.cost_s
-        self._n_waiting -= 1
+        self._n_waiting[ticket.lane] -= 1
 
     def _grant(self) -> None:
-        while self._n_waiting:
+        while True:
             ticket = self._take_next()
             if ticket is None:
                 return
@@ -193,7 +193,7 @@
 
     def _take_next(self) -> Ticket | None:
         for lane in (Lane.LONG, Lane.SHORT):
-            if self._has_free_place(lane):
+            if self._n_waiting[lane] and self._has_free_place(lane):
                 ticket = self._take_from(lane)
                 if ticket is not None:
                     return ticket
