--- a/celeryfold/bench/crowd.py
+++ b/celeryfold/bench/crowd.py
@@ -10,29 +10,15 @@
 import trio
 
 from ..config.objects import Catalog, ObjectSet
-from ..home.outcomes import OUTCOME_TABLE
 from ..kernel.ids import GroupId, PlaceId, ServiceId, SlotId
 from ..standins.slot import SlotShape
 from .callers import Caller
-from .deployments import Workload
+from .deployments import ENTRIES, ENTRIES_SCHEMA, Workload
 from .history import History, Verdict
 from .world import World, WorldShape
 
-SERVICE = ServiceId("records")
+SERVICE = ENTRIES.service
 SMALL_PLACES = tuple(PlaceId(name) for name in ("a1", "a2", "a2", "b1"))
-SMALL_WORKLOAD = Workload(
-    SERVICE,
-    "entries",
-    "owner",
-    "INSERT INTO entries (marker, owner, day) VALUES (?, ?, ?)",
-    "SELECT marker FROM entries WHERE owner = ?",
-    "SELECT marker, count(*) FROM entries GROUP BY marker",
-    "SELECT count(*) FROM entries /* tally */",
-)
-SMALL_SCHEMA = (
-    "CREATE TABLE entries (marker TEXT, owner TEXT, day TEXT)",
-    OUTCOME_TABLE,
-)
 SETTLE_TIMEOUT_S = 60.0
 SETTLE_STEP_S = 0.5
 
@@ -61,7 +47,7 @@
         }
     )
     slots = [slot.name for group in objects.upstream_groups for slot in group.slots]
-    shapes = {name: SlotShape(name, SMALL_SCHEMA, lag_s=lag_s) for name in slots}
+    shapes = {name: SlotShape(name, ENTRIES_SCHEMA, lag_s=lag_s) for name in slots}
     return WorldShape(objects, shapes, SMALL_PLACES, PlaceId("a1"), seed=seed)
 
 
@@ -82,7 +68,7 @@
     """
 
     service: ServiceId = SERVICE
-    workload: Workload = SMALL_WORKLOAD
+    workload: Workload = ENTRIES
     n_callers: int = 6
     n_owners: int = 6
     seconds: float = 10.0
--- a/celeryfold/bench/deployments.py
+++ b/celeryfold/bench/deployments.py
@@ -2,7 +2,14 @@
 
 from __future__ import annotations
 
-__all__ = ["Deployment", "load_deployment"]
+__all__ = [
+    "ENTRIES",
+    "ENTRIES_SCHEMA",
+    "Deployment",
+    "Workload",
+    "load_deployment",
+    "make_shape",
+]
 
 from dataclasses import dataclass
 from pathlib import Path
@@ -13,6 +20,7 @@
 from ..config.objects import Catalog, ObjectSet
 from ..config.settings import SlotStandinSettings, load_settings
 from ..exceptions import BadInput
+from ..home.outcomes import OUTCOME_TABLE
 from ..kernel.ids import ServiceId, SlotId
 from ..standins.slot import SlotShape
 
@@ -74,6 +82,15 @@
     )
 
 
+ENTRIES = _make_workload("records", "entries", "owner", "day")
+"""The workload of small sites and worlds, which belong to no deployment."""
+
+ENTRIES_SCHEMA = (
+    "CREATE TABLE entries (marker TEXT NOT NULL, owner TEXT NOT NULL, day TEXT)",
+    "CREATE INDEX entries_by_owner ON entries (owner)",
+    OUTCOME_TABLE,
+)
+
 _WORKLOADS = {
     "cockle": _make_workload("permits", "renewals", "permit_id", "renewed_on"),
     "bogledger": _make_workload("reports", "reports", "project", "filed_on"),
--- a/celeryfold/bench/faults.py
+++ b/celeryfold/bench/faults.py
@@ -18,8 +18,9 @@
 from ..platform.slot import Statement
 from ..standins.faults import FaultsBody
 from .callers import Caller, HttpDoor
+from .deployments import ENTRIES
 from .history import History, Verdict
-from .processes import WORKLOAD, ProcessSite, SiteShape
+from .processes import ProcessSite, SiteShape
 from .report import MEASURES, Figures, Measure, Report
 
 SHAPE = SiteShape(n_instances=4, n_groups=2, n_slots=3)
@@ -60,7 +61,7 @@
         caller = Caller(
             f"c{number}",
             doors,
-            WORKLOAD,
+            ENTRIES,
             self.history,
             rng,
             self.find_group,
@@ -191,7 +192,7 @@
         except Exception:
             await trio.sleep(0.1)
     answer = await connection.execute(
-        [Statement(WORKLOAD.census)], begin=True, commit=True
+        [Statement(ENTRIES.census)], begin=True, commit=True
     )
     await connection.close()
     return {str(row[0]): int(row[1] or 0) for row in answer.results[0].rows}
--- a/celeryfold/bench/processes.py
+++ b/celeryfold/bench/processes.py
@@ -22,33 +22,17 @@
 from ..doors import InstanceReport
 from ..exceptions import BadInput
 from ..groups.record import GroupRecord
-from ..home.outcomes import OUTCOME_TABLE
-from ..kernel.ids import GroupId, ServiceId
+from ..kernel.ids import GroupId
 from ..platform.http_store import HttpStore
 from ..platform.listing import ListedInstance, Listing
 from ..standins.faults import FaultsBody
 from ..wire.client import HttpClient, Unanswered, Unreachable
-from .deployments import Workload
+from .deployments import ENTRIES, ENTRIES_SCHEMA
 
 READY_TIMEOUT_S = 30.0
 READY_CHECK_S = 0.1
 PLACES = (("east-a", "east"), ("east-b", "east"))
-SERVICE = ServiceId("records")
-
-SCHEMA = (
-    "CREATE TABLE entries (marker TEXT NOT NULL, owner TEXT NOT NULL, day TEXT);"
-    f"CREATE INDEX entries_by_owner ON entries (owner);{OUTCOME_TABLE};"
-)
-
-WORKLOAD = Workload(
-    SERVICE,
-    "entries",
-    "owner",
-    "INSERT INTO entries (marker, owner, day) VALUES (?, ?, ?)",
-    "SELECT marker FROM entries WHERE owner = ?",
-    "SELECT marker, count(*) FROM entries GROUP BY marker",
-    "SELECT count(*) FROM entries /* tally */",
-)
+SERVICE = ENTRIES.service
 
 
 def find_free_ports(n_ports: int) -> list[int]:
@@ -125,7 +109,8 @@
         self._launch("list", "standin", "list", _listen(self.list_address))
 
     def _start_slots(self) -> None:
-        (self.folder / "schema.sql").write_text(SCHEMA)
+        schema = ";\n".join(ENTRIES_SCHEMA)
+        (self.folder / "schema.sql").write_text(schema)
         groups = []
         for group in range(self.shape.n_groups):
             slots = []
--- a/celeryfold/entry/tests/test_entry.py
+++ b/celeryfold/entry/tests/test_entry.py
@@ -7,7 +7,8 @@
 import pytest
 import trio
 
-from celeryfold.bench.crowd import SERVICE, SMALL_WORKLOAD, Crowd, make_small_world
+from celeryfold.bench.crowd import SERVICE, Crowd, make_small_world
+from celeryfold.bench.deployments import ENTRIES
 from celeryfold.bench.world import World, run_world
 from celeryfold.entry.requests import Mode, StatementRequest
 from celeryfold.exceptions import RequestFailure
@@ -32,7 +33,7 @@
         owners = (f"owner-{n}" for n in itertools.count())
         owner = next(o for o in owners if crowd.find_group(o) == "g1")
         request = StatementRequest(
-            SMALL_WORKLOAD.insert,
+            ENTRIES.insert,
             ("m", owner, ""),
             key=owner,
             mode=Mode.WRITE,
--- a/celeryfold/home/tests/test_pool.py
+++ b/celeryfold/home/tests/test_pool.py
@@ -7,7 +7,8 @@
 import pytest
 import trio
 
-from celeryfold.bench.crowd import SERVICE, SMALL_WORKLOAD, Crowd, make_small_world
+from celeryfold.bench.crowd import SERVICE, Crowd, make_small_world
+from celeryfold.bench.deployments import ENTRIES
 from celeryfold.bench.world import World, run_world
 from celeryfold.entry.requests import Mode, StatementRequest, StatementResponse
 from celeryfold.home.pool import SlotPool
@@ -24,7 +25,7 @@
     owners = (f"owner-{n}" for n in itertools.count())
     owner = next(o for o in owners if crowd.find_group(o) == "g1")
     return StatementRequest(
-        SMALL_WORKLOAD.insert,
+        ENTRIES.insert,
         (marker, owner, ""),
         key=owner,
         mode=Mode.WRITE,
--- a/celeryfold/home/tests/test_transactions.py
+++ b/celeryfold/home/tests/test_transactions.py
@@ -7,7 +7,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from celeryfold.bench.crowd import SERVICE, SMALL_WORKLOAD, Crowd, make_small_world
+from celeryfold.bench.crowd import SERVICE, Crowd, make_small_world
+from celeryfold.bench.deployments import ENTRIES
 from celeryfold.bench.world import World, run_world
 from celeryfold.conftest import count_examples
 from celeryfold.entry.requests import BeginRequest, FinishRequest, StatementRequest
@@ -69,7 +70,7 @@
             self.inserted[name].append(marker)
             values = (marker, self.owner, name)
             request = StatementRequest(
-                SMALL_WORKLOAD.insert, values, key=self.owner, deadline_ms=1000
+                ENTRIES.insert, values, key=self.owner, deadline_ms=1000
             )
             await entry.run_in_transaction(name, request)
             return
--- a/celeryfold/tests/test_mechanisms.py
+++ b/celeryfold/tests/test_mechanisms.py
@@ -11,7 +11,8 @@
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
-from celeryfold.bench.crowd import SMALL_WORKLOAD, Crowd, CrowdShape, make_small_world
+from celeryfold.bench.crowd import Crowd, CrowdShape, make_small_world
+from celeryfold.bench.deployments import ENTRIES
 from celeryfold.bench.history import History, Verdict
 from celeryfold.bench.world import LocalDoor, World, run_world
 from celeryfold.conftest import count_examples
@@ -27,7 +28,7 @@
 
 GROUP = GroupId("g1")
 
-G1 = SMALL_WORKLOAD.service
+G1 = ENTRIES.service
 LEAVES_WITHIN_S = 3.0
 
 
@@ -40,7 +41,7 @@
 def make_write(marker: str, owner: str, key: str) -> StatementRequest:
     """Return a write of a marked row."""
     return StatementRequest(
-        SMALL_WORKLOAD.insert,
+        ENTRIES.insert,
         (marker, owner, "2026-12-04"),
         key=owner,
         mode=Mode.WRITE,
@@ -196,7 +197,7 @@
         await trio.sleep(0.2)
     primary.faults.drop_answers = 0
     await crowd.settle()
-    final = world.count_markers(SMALL_WORKLOAD.census)
+    final = world.count_markers(ENTRIES.census)
     verdict = crowd.judge()
     verdict.n_false_not_run = sum(marker in final for marker in not_run)
     verdict.n_doubled = sum(count > 1 for count in final.values())
--- a/celeryfold/tests/test_processes.py
+++ b/celeryfold/tests/test_processes.py
@@ -10,7 +10,8 @@
 import trio
 
 from celeryfold.bench.callers import HttpDoor
-from celeryfold.bench.processes import SERVICE, WORKLOAD, ProcessSite
+from celeryfold.bench.deployments import ENTRIES
+from celeryfold.bench.processes import SERVICE, ProcessSite
 from celeryfold.entry.requests import Mode, StatementRequest, StatementResponse
 
 
@@ -25,7 +26,7 @@
 def make_write(marker: str, owner: str = "permit-1") -> StatementRequest:
     """Return a keyed write of a marked row."""
     return StatementRequest(
-        WORKLOAD.insert,
+        ENTRIES.insert,
         (marker, owner, "2026-12-04"),
         key=owner,
         mode=Mode.WRITE,
@@ -35,7 +36,7 @@
 
 def make_read(session: str = "", owner: str = "permit-1") -> StatementRequest:
     """Return a read of an owner's rows."""
-    return StatementRequest(WORKLOAD.lookup, (owner,), key=owner, session=session)
+    return StatementRequest(ENTRIES.lookup, (owner,), key=owner, session=session)
 
 
 def test_renewal_through_one_instance_is_read_through_another(site):
