Run a site of processes, and find an owner in a group, in one place each

Cause: three measures each opened, ran and closed a site of their own, and five places each searched for an owner whose data is in a group.

--- a/celeryfold/bench/control.py
+++ b/celeryfold/bench/control.py
@@ -4,16 +4,14 @@
 
 __all__ = ["ControlCostMeasure"]
 
-import tempfile
 from collections import Counter
 from dataclasses import dataclass
-from pathlib import Path
 
 import msgspec
 import trio
 
 from ..wire.client import HttpClient
-from .processes import ProcessSite, SiteShape
+from .processes import ProcessSite, SiteShape, run_site
 from .report import MEASURES, Figures, Measure, Report
 
 FLEET_SIZES = (3, 6, 9, 18, 36)
@@ -80,15 +78,6 @@
     )
 
 
-def _run_site(shape: SiteShape) -> _Cost:
-    with tempfile.TemporaryDirectory() as folder:
-        site = ProcessSite(Path(folder), shape)
-        try:
-            return trio.run(_measure, site)
-        finally:
-            site.close()
-
-
 def _fit_slope(xs: list[float], ys: list[float]) -> float:
     """Return the least-squares slope."""
     mean_x = sum(xs) / len(xs)
@@ -106,11 +95,11 @@
         figures: Figures = {}
         series: dict[str, list[float]] = {}
         fleets = [
-            _run_site(SiteShape(n, N_GROUPS_IN_FLEET_RUNS, N_SLOTS))
+            run_site(SiteShape(n, N_GROUPS_IN_FLEET_RUNS, N_SLOTS), _measure)
             for n in FLEET_SIZES
         ]
         groups = [
-            _run_site(SiteShape(N_INSTANCES_IN_GROUP_RUNS, n, N_SLOTS))
+            run_site(SiteShape(N_INSTANCES_IN_GROUP_RUNS, n, N_SLOTS), _measure)
             for n in GROUP_COUNTS
         ]
         _describe("instance", FLEET_SIZES, fleets, figures, series)
--- a/celeryfold/bench/crowd.py
+++ b/celeryfold/bench/crowd.py
@@ -4,6 +4,7 @@
 
 __all__ = ["Crowd", "CrowdShape", "make_small_world"]
 
+import itertools
 import random
 from dataclasses import dataclass
 
@@ -91,6 +92,11 @@
         """Return the group that holds an owner's data."""
         return self.catalog.find_group(self._service, owner).name
 
+    def find_owner(self, group: str) -> str:
+        """Return an owner whose data is in a group."""
+        owners = (f"owner-{number}" for number in itertools.count())
+        return next(owner for owner in owners if self.find_group(owner) == group)
+
     def is_primary(self, slot: str) -> bool:
         """Tell whether a slot is its group's primary now."""
         group = self.catalog.group_of_slot[SlotId(slot)]
--- a/celeryfold/bench/failover.py
+++ b/celeryfold/bench/failover.py
@@ -53,8 +53,7 @@
         self.rng = random.Random(world.shape.seed)
         groups = self.crowd.catalog.services[workload.service].upstream_groups
         self.group = groups[0]
-        owners = (f"owner-{n}" for n in range(1000))
-        self.owner = next(o for o in owners if self.crowd.find_group(o) == self.group)
+        self.owner = self.crowd.find_owner(self.group)
         self.n_reads_good = 0
         self.n_reads = 0
 
--- a/celeryfold/bench/faults.py
+++ b/celeryfold/bench/faults.py
@@ -6,9 +6,8 @@
 
 import random
 import signal
-import tempfile
 from collections.abc import Awaitable, Callable
-from pathlib import Path
+from functools import partial
 
 import msgspec
 import trio
@@ -20,7 +19,7 @@
 from .callers import Caller, HttpDoor
 from .deployments import ENTRIES
 from .history import History, Verdict
-from .processes import ProcessSite, SiteShape
+from .processes import ProcessSite, SiteShape, run_site
 from .report import MEASURES, Figures, Measure, Report
 
 SHAPE = SiteShape(n_instances=4, n_groups=2, n_slots=3)
@@ -203,12 +202,7 @@
 
     def run(self, deployment: str, seed: int) -> Report:
         """Run processes of its own; the deployment is not used."""
-        with tempfile.TemporaryDirectory() as folder:
-            site = ProcessSite(Path(folder), SHAPE)
-            try:
-                verdict, log = trio.run(_measure, site, seed)
-            finally:
-                site.close()
+        verdict, log = run_site(SHAPE, partial(_measure, seed=seed))
         figures: Figures = {
             name: value
             for name, value in msgspec.structs.asdict(verdict).items()
--- a/celeryfold/bench/path.py
+++ b/celeryfold/bench/path.py
@@ -4,12 +4,8 @@
 
 __all__ = ["PathMeasure"]
 
-import tempfile
 from abc import ABC, abstractmethod
-from collections.abc import Awaitable, Callable
 from functools import partial
-from pathlib import Path
-from typing import TypeVar
 
 import msgspec
 import trio
@@ -19,7 +15,7 @@
 from ..platform.http_slot import HttpSlot
 from ..platform.slot import Connection, Statement
 from ..wire.client import HttpChannel
-from .processes import SERVICE, ProcessSite, SiteShape
+from .processes import SERVICE, ProcessSite, SiteShape, run_site
 from .report import MEASURES, Figures, Measure, Report, divide, find_percentile
 
 N_CALLERS = 64
@@ -102,9 +98,9 @@
     def run(self, deployment: str, seed: int) -> Report:
         """Run on processes of its own; the deployment is not used."""
         shape = SiteShape(1, 1, 1, connection_limit=2 * N_CALLERS)
-        report = _run_on_site(shape, partial(self._measure, seed=seed))
+        report = run_site(shape, partial(self._measure, seed=seed))
         pair = SiteShape(2, 1, 1, connection_limit=2 * N_CALLERS)
-        report.celeryfold |= _run_on_site(pair, _measure_hop)
+        report.celeryfold |= run_site(pair, _measure_hop)
         return report
 
     async def _measure(self, site: ProcessSite, seed: int) -> Report:
@@ -172,18 +168,6 @@
     }
 
 
-T = TypeVar("T")
-
-
-def _run_on_site(shape: SiteShape, measure: Callable[[ProcessSite], Awaitable[T]]) -> T:
-    with tempfile.TemporaryDirectory() as folder:
-        site = ProcessSite(Path(folder), shape)
-        try:
-            return trio.run(measure, site)
-        finally:
-            site.close()
-
-
 def _describe(times: list[float], rate: float) -> Figures:
     return {
         "statements_a_second": round(rate, 1),
--- a/celeryfold/bench/processes.py
+++ b/celeryfold/bench/processes.py
@@ -2,16 +2,18 @@
 
 from __future__ import annotations
 
-__all__ = ["ProcessSite", "SiteShape", "find_free_ports"]
+__all__ = ["ProcessSite", "SiteShape", "find_free_ports", "run_site"]
 
 import json
 import signal
 import socket
 import subprocess
 import sys
+import tempfile
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 import msgspec
 import trio
@@ -29,6 +31,8 @@
 from ..wire.client import HttpClient, Unanswered, Unreachable
 from .deployments import ENTRIES, ENTRIES_SCHEMA
 
+T = TypeVar("T")
+
 READY_TIMEOUT_S = 30.0
 READY_CHECK_S = 0.1
 PLACES = (("east-a", "east"), ("east-b", "east"))
@@ -265,6 +269,16 @@
             process.wait()
 
 
+def run_site(shape: SiteShape, measure: Callable[[ProcessSite], Awaitable[T]]) -> T:
+    """Run a measure on a site of its own, which is closed afterwards."""
+    with tempfile.TemporaryDirectory() as folder:
+        site = ProcessSite(Path(folder), shape)
+        try:
+            return trio.run(measure, site)
+        finally:
+            site.close()
+
+
 def _split(address: str) -> dict[str, Any]:
     host, _, port = address.partition(":")
     return {"host": host, "port": int(port)}
--- a/celeryfold/entry/tests/test_entry.py
+++ b/celeryfold/entry/tests/test_entry.py
@@ -29,9 +29,7 @@
     monkeypatch.setattr(Writer, "run", fail)
 
     async def use(world: World) -> ErrorKind:
-        crowd = Crowd(world)
-        owners = (f"owner-{n}" for n in itertools.count())
-        owner = next(o for o in owners if crowd.find_group(o) == "g1")
+        owner = Crowd(world).find_owner("g1")
         request = StatementRequest(
             ENTRIES.insert,
             ("m", owner, ""),
--- a/celeryfold/home/tests/test_pool.py
+++ b/celeryfold/home/tests/test_pool.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import itertools
-
 import pytest
 import trio
 
@@ -22,8 +20,7 @@
 
 def make_write(crowd: Crowd, marker: str) -> StatementRequest:
     """Return a keyed write to the first group."""
-    owners = (f"owner-{n}" for n in itertools.count())
-    owner = next(o for o in owners if crowd.find_group(o) == "g1")
+    owner = crowd.find_owner("g1")
     return StatementRequest(
         ENTRIES.insert,
         (marker, owner, ""),
--- a/celeryfold/home/tests/test_transactions.py
+++ b/celeryfold/home/tests/test_transactions.py
@@ -32,8 +32,7 @@
     def __init__(self, world: World) -> None:
         self.world = world
         self.crowd = Crowd(world)
-        owners = (f"owner-{n}" for n in range(100))
-        self.owner = next(o for o in owners if self.crowd.find_group(o) == "g1")
+        self.owner = self.crowd.find_owner("g1")
         self.names: dict[int, str] = {}
         self.inserted: dict[str, list[str]] = {}
         self.committed: set[str] = set()
--- a/celeryfold/tests/test_mechanisms.py
+++ b/celeryfold/tests/test_mechanisms.py
@@ -32,12 +32,6 @@
 LEAVES_WITHIN_S = 3.0
 
 
-def make_owner(crowd: Crowd, group: str) -> str:
-    """Return an owner whose data is in a group."""
-    owners = (f"owner-{n}" for n in itertools.count())
-    return next(owner for owner in owners if crowd.find_group(owner) == group)
-
-
 def make_write(marker: str, owner: str, key: str) -> StatementRequest:
     """Return a write of a marked row."""
     return StatementRequest(
@@ -56,7 +50,7 @@
     crowd = Crowd(world)
     caller = crowd.make_caller("c", random.Random(1))
     for group in ("g1", "g2"):
-        owner = make_owner(crowd, group)
+        owner = crowd.find_owner(group)
         for _ in range(8):
             await caller.read(owner, accepted_age_s=60.0)
         for _ in range(8):
@@ -83,7 +77,7 @@
     crowd = Crowd(world)
     writer = crowd.make_caller("w", random.Random(1))
     reader = crowd.make_caller("r", random.Random(2))
-    owner = make_owner(crowd, "g1")
+    owner = crowd.find_owner("g1")
     for _ in range(10):
         await writer.write(owner)
         await trio.sleep(0.3)
@@ -110,7 +104,7 @@
     far.use_doors([far_door])
     near = crowd.make_caller("near", random.Random(2))
     near.use_doors([door for door in world.make_doors() if door.name != "i4"])
-    owner = make_owner(crowd, "g2")
+    owner = crowd.find_owner("g2")
 
     async def write_on(caller, n_writes: int) -> None:
         for _ in range(n_writes):
@@ -182,7 +176,7 @@
     crowd = Crowd(world)
     history = History()
     crowd.history = history
-    owner = make_owner(crowd, "g1")
+    owner = crowd.find_owner("g1")
     doors = world.make_doors()
     primary = world.slots[world.find_record(GROUP).primary]
     not_run: list[str] = []
@@ -222,7 +216,7 @@
 async def reuse_key(world: World) -> list[object]:
     """Use one key for two different statements, through two instances."""
     crowd = Crowd(world)
-    owner = make_owner(crowd, "g1")
+    owner = crowd.find_owner("g1")
     first, second = world.make_doors()[:2]
     answers: list[object] = [await first.send(G1, make_write("m1", owner, "k"))]
     answers.append(await second.send(G1, make_write("m1", owner, "k")))
@@ -309,7 +303,7 @@
     world: World, name: InstanceId, n_callers: int, after_s: float
 ) -> list[object]:
     """Stop an instance gracefully while requests run on it."""
-    owner = make_owner(Crowd(world), "g1")
+    owner = Crowd(world).find_owner("g1")
     answers: list[object] = []
 
     async def write_on(number: int) -> None:
