--- a/celeryfold/bench/baseline.py
+++ b/celeryfold/bench/baseline.py
@@ -9,8 +9,8 @@
 
 import trio
 
+from ..drivers.slot import BatchAnswer, Connection, Slot, Statement
 from ..kernel.ids import InstanceId, SlotId
-from ..platform.slot import BatchAnswer, Connection, Slot, Statement
 from ..standins.local import LocalSlot
 from .world import World
 
--- a/celeryfold/bench/exploration.py
+++ b/celeryfold/bench/exploration.py
@@ -18,11 +18,11 @@
 
 import msgspec
 
+from ..drivers.slot import SlotRole, SlotStatus
 from ..groups import record as shipped
 from ..groups.freshness import Sample, make_sample
 from ..groups.record import GroupRecord
 from ..kernel.ids import Position, SlotId, Term
-from ..platform.slot import SlotRole, SlotStatus
 
 Log = tuple[tuple[int, int], ...]
 """Entries as pairs of term and write number; write number 0 starts a term."""
--- a/celeryfold/bench/failover.py
+++ b/celeryfold/bench/failover.py
@@ -8,8 +8,8 @@
 
 import trio
 
+from ..drivers.slot import Statement
 from ..kernel.ids import InstanceId
-from ..platform.slot import Statement
 from .baseline import PlainProxy, ReadPolicy
 from .crowd import Crowd, CrowdShape
 from .deployments import Deployment, load_deployment
--- a/celeryfold/bench/faults.py
+++ b/celeryfold/bench/faults.py
@@ -12,9 +12,9 @@
 import msgspec
 import trio
 
+from ..drivers.http_slot import HttpSlot
+from ..drivers.slot import Statement
 from ..kernel.ids import GroupId
-from ..platform.http_slot import HttpSlot
-from ..platform.slot import Statement
 from ..standins.faults import FaultsBody
 from .callers import Caller, HttpDoor
 from .deployments import ENTRIES
--- a/celeryfold/bench/openloop.py
+++ b/celeryfold/bench/openloop.py
@@ -23,9 +23,9 @@
 import trio
 
 from ..config.objects import ObjectSet
+from ..drivers.slot import Statement
 from ..entry.requests import StatementRequest, StatementResponse
 from ..kernel.ids import InstanceId, PlaceId, ServiceId, SlotId
-from ..platform.slot import Statement
 from ..standins.slot import SlotShape
 from .baseline import PlainProxy, ReadPolicy
 from .deployments import load_deployment
--- a/celeryfold/bench/path.py
+++ b/celeryfold/bench/path.py
@@ -10,10 +10,10 @@
 import msgspec
 import trio
 
+from ..drivers.http_slot import HttpSlot
+from ..drivers.slot import Connection, Statement
 from ..entry.requests import StatementRequest
 from ..kernel.ids import SlotId
-from ..platform.http_slot import HttpSlot
-from ..platform.slot import Connection, Statement
 from ..wire.client import HttpChannel
 from .processes import SERVICE, ProcessSite, SiteShape, run_site
 from .report import MEASURES, Figures, Measure, Report, divide, find_percentile
--- a/celeryfold/bench/replica_reads.py
+++ b/celeryfold/bench/replica_reads.py
@@ -10,8 +10,8 @@
 
 import trio
 
+from ..drivers.slot import Statement
 from ..kernel.ids import GroupId, InstanceId, PlaceId, RegionId, SlotId
-from ..platform.slot import Statement
 from .baseline import PlainProxy, ReadPolicy
 from .callers import Caller
 from .crowd import Crowd, CrowdShape
--- a/celeryfold/bench/site.py
+++ b/celeryfold/bench/site.py
@@ -10,11 +10,11 @@
 from ..config.publishing import publish
 from ..config.settings import InstanceSettings, load_settings
 from ..daemon import InstanceDaemon
+from ..drivers.http_store import HttpStore
+from ..drivers.listing import ListedInstance, Listing
 from ..exceptions import BadInput
 from ..groups.book import KnownRecord
 from ..kernel.ids import GroupId, SlotId
-from ..platform.http_store import HttpStore
-from ..platform.listing import ListedInstance, Listing
 from ..standins.listing import ListEngine
 from ..standins.servers import HttpLogSource, serve_list, serve_slot, serve_store
 from ..standins.slot import SlotEngine
--- a/celeryfold/bench/world.py
+++ b/celeryfold/bench/world.py
@@ -15,6 +15,8 @@
 
 from ..config.objects import ObjectSet, SlotDefinition
 from ..config.publishing import publish
+from ..drivers.listing import ListedInstance, Listing
+from ..drivers.slot import Slot
 from ..entry.requests import StatementRequest, StatementResponse
 from ..exceptions import RequestFailure
 from ..fleet.members import Member
@@ -24,8 +26,6 @@
 from ..kernel.events import HybridClock, Timeline
 from ..kernel.ids import GroupId, InstanceId, PlaceId, ServiceId, SlotId
 from ..kernel.metrics import Metrics
-from ..platform.listing import ListedInstance, Listing
-from ..platform.slot import Slot
 from ..standins.listing import ListEngine
 from ..standins.local import (
     LIST_NAME,
--- a/celeryfold/commands/recover.py
+++ b/celeryfold/commands/recover.py
@@ -10,15 +10,15 @@
 
 from ..config.objects import Catalog
 from ..config.publishing import load_current
+from ..drivers.http_slot import HttpSlot
+from ..drivers.http_store import HttpStore
+from ..drivers.slot import SlotUnreachable
+from ..drivers.store import StoreConflict, StoreUnavailable
 from ..exceptions import BadInput
 from ..groups.book import KEY_PREFIX
 from ..groups.record import GroupRecord
 from ..groups.recovery import describe_loss, propose_recovery
 from ..kernel.ids import GroupId, SlotId
-from ..platform.http_slot import HttpSlot
-from ..platform.http_store import HttpStore
-from ..platform.slot import SlotUnreachable
-from ..platform.store import StoreConflict, StoreUnavailable
 
 
 async def _recover(group: GroupId, slot: SlotId, address: str, is_sure: bool) -> int:
--- a/celeryfold/commands/standin.py
+++ b/celeryfold/commands/standin.py
@@ -17,8 +17,8 @@
     load_settings,
 )
 from ..daemon import run_until_signal
+from ..drivers.listing import ListedInstance, Listing
 from ..kernel.logs import start_logging
-from ..platform.listing import ListedInstance, Listing
 from ..standins.listing import ListEngine
 from ..standins.servers import HttpLogSource, serve_list, serve_slot, serve_store
 from ..standins.slot import SlotEngine
--- a/celeryfold/commands/submit.py
+++ b/celeryfold/commands/submit.py
@@ -12,8 +12,8 @@
 
 from ..config.check import load_objects
 from ..config.publishing import Conflict, publish
+from ..drivers.http_store import HttpStore
 from ..kernel.ids import Generation
-from ..platform.http_store import HttpStore
 from .check import print_report
 
 
--- a/celeryfold/config/check.py
+++ b/celeryfold/config/check.py
@@ -13,8 +13,8 @@
 from pydantic import ValidationError
 from returns.result import Failure, Result, Success
 
+from ..drivers.slot import SLOT_DRIVERS, Slot
 from ..kernel.registry import Registry
-from ..platform.slot import SLOT_DRIVERS, Slot
 from .objects import Confirm, ObjectSet, Service, UpstreamGroup
 
 SECTIONS = ("places", "read_rules", "upstream_groups", "services")
--- a/celeryfold/config/publishing.py
+++ b/celeryfold/config/publishing.py
@@ -21,8 +21,8 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from ..drivers.store import Store, StoreConflict, StoreEntry, StoreUnavailable
 from ..kernel.ids import Generation
-from ..platform.store import Store, StoreConflict, StoreEntry, StoreUnavailable
 from .objects import ObjectSet
 from .parts import Manifest, SplitSet, join_set, split_set
 
--- a/celeryfold/daemon.py
+++ b/celeryfold/daemon.py
@@ -15,15 +15,15 @@
 from .config.objects import SlotDefinition
 from .config.settings import InstanceSettings
 from .doors import CallerHandler, OperatorHandler
+from .drivers.http_slot import HttpSlot
+from .drivers.http_store import HttpInstanceList, HttpStore
+from .drivers.slot import SLOT_DRIVERS, Slot
 from .exceptions import BadInput
 from .fleet.members import Member
 from .fleet.zmq_link import PeerKeys, ZmqLink
 from .instance import Instance, Platform
 from .kernel.events import Timeline
 from .kernel.metrics import Metrics
-from .platform.http_slot import HttpSlot
-from .platform.http_store import HttpInstanceList, HttpStore
-from .platform.slot import SLOT_DRIVERS, Slot
 from .wire.server import HttpServer
 
 log = logging.getLogger(__name__)
--- a/celeryfold/entry/entry.py
+++ b/celeryfold/entry/entry.py
@@ -13,6 +13,7 @@
 import trio
 
 from ..config.objects import Service, UpstreamGroup
+from ..drivers.slot import Statement
 from ..exceptions import RequestFailure
 from ..fleet.link import PeerUnreachable
 from ..groups.book import RecordBook
@@ -37,7 +38,6 @@
     make_request_id,
 )
 from ..kernel.metrics import Metrics
-from ..platform.slot import Statement
 from .requests import (
     MAX_KEY_LENGTH,
     BeginRequest,
--- a/celeryfold/entry/requests.py
+++ b/celeryfold/entry/requests.py
@@ -18,9 +18,9 @@
 
 import msgspec
 
+from ..drivers.slot import Scalar
 from ..exceptions import RequestFailure
 from ..kernel.errors import ErrorKind
-from ..platform.slot import Scalar
 
 T = TypeVar("T")
 
--- a/celeryfold/fleet/knowledge.py
+++ b/celeryfold/fleet/knowledge.py
@@ -14,12 +14,12 @@
 from ..config.adoption import Configuration
 from ..config.parts import Manifest, make_digest
 from ..config.publishing import Pointer, load_blob
+from ..drivers.store import Store, StoreEntry
 from ..exceptions import CeleryfoldError
 from ..groups.book import KnownRecord, RecordBook
 from ..groups.record import GroupRecord
 from ..kernel.events import EventKind, Timeline
 from ..kernel.ids import GroupId, SlotId
-from ..platform.store import Store, StoreEntry
 from .link import PeerLink
 from .members import ConfigNews, News, RecordNews, SlotNews
 from .membership import KnowledgePorts, Membership
--- a/celeryfold/fleet/watcher.py
+++ b/celeryfold/fleet/watcher.py
@@ -9,10 +9,10 @@
 
 import trio
 
+from ..drivers.listing import InstanceList, Listing
+from ..drivers.store import Store, StoreUnavailable
 from ..exceptions import CeleryfoldError
 from ..kernel.events import EventKind, Timeline
-from ..platform.listing import InstanceList, Listing
-from ..platform.store import Store, StoreUnavailable
 from .knowledge import Knowledge
 from .members import Member
 from .membership import Membership
--- a/celeryfold/groups/acknowledgement.py
+++ b/celeryfold/groups/acknowledgement.py
@@ -8,9 +8,9 @@
 
 import trio
 
+from ..drivers.slot import Slot, SlotStatus
 from ..exceptions import CeleryfoldError
 from ..kernel.ids import GroupId, Position, SlotId, Term
-from ..platform.slot import Slot, SlotStatus
 from .book import KnownRecord, RecordBook
 from .record import covers, may_acknowledge
 
--- a/celeryfold/groups/decisions.py
+++ b/celeryfold/groups/decisions.py
@@ -7,9 +7,9 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
+from ..drivers.slot import SlotRole, SlotStatus
 from ..kernel.events import EventKind
 from ..kernel.ids import SlotId, Term
-from ..platform.slot import SlotRole, SlotStatus
 from .record import (
     GroupRecord,
     can_promote,
--- a/celeryfold/groups/freshness.py
+++ b/celeryfold/groups/freshness.py
@@ -14,8 +14,8 @@
 
 import msgspec
 
+from ..drivers.slot import BatchAnswer, SlotStatus
 from ..kernel.ids import Position, SlotId, Term
-from ..platform.slot import BatchAnswer, SlotStatus
 from .record import GroupRecord
 
 N_SAMPLES_KEPT = 256
--- a/celeryfold/groups/guardian.py
+++ b/celeryfold/groups/guardian.py
@@ -11,12 +11,12 @@
 import trio
 
 from ..config.objects import Catalog, UpstreamGroup
+from ..drivers.slot import OrderRefused, Slot, SlotStatus, SlotUnreachable
+from ..drivers.store import Store, StoreConflict, StoreUnavailable
 from ..exceptions import CeleryfoldError
 from ..kernel.events import EventKind, Timeline
 from ..kernel.ids import GroupId, SlotId
 from ..kernel.metrics import Metrics
-from ..platform.slot import OrderRefused, Slot, SlotStatus, SlotUnreachable
-from ..platform.store import Store, StoreConflict, StoreUnavailable
 from .book import KEY_PREFIX, KnownRecord, RecordBook
 from .decisions import Action, Follow, GroupView, Promote, Swap, decide
 from .record import GroupRecord, make_first_record
--- a/celeryfold/groups/record.py
+++ b/celeryfold/groups/record.py
@@ -23,8 +23,8 @@
 
 import msgspec
 
+from ..drivers.slot import SlotStatus
 from ..kernel.ids import Position, SlotId, Term
-from ..platform.slot import SlotStatus
 
 
 class Base(msgspec.Struct, frozen=True):
--- a/celeryfold/groups/recovery.py
+++ b/celeryfold/groups/recovery.py
@@ -6,8 +6,8 @@
 
 from dataclasses import dataclass
 
+from ..drivers.slot import SlotStatus
 from ..kernel.ids import Position, SlotId, Term
-from ..platform.slot import SlotStatus
 from .record import Base, GroupRecord, can_promote
 
 
--- a/celeryfold/groups/sampling.py
+++ b/celeryfold/groups/sampling.py
@@ -8,10 +8,10 @@
 
 import trio
 
+from ..drivers.slot import Slot, SlotStatus
 from ..exceptions import CeleryfoldError, RequestFailure
 from ..kernel.errors import ErrorKind
 from ..kernel.ids import GroupId, SlotId
-from ..platform.slot import Slot, SlotStatus
 from .book import RecordBook
 from .freshness import Sample, SampleShelf, make_sample
 
--- a/celeryfold/groups/tests/test_decisions.py
+++ b/celeryfold/groups/tests/test_decisions.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
+from celeryfold.drivers.slot import SlotRole, SlotStatus
 from celeryfold.groups.decisions import Follow, GroupView, Promote, Swap, decide
 from celeryfold.groups.record import GroupRecord, make_first_record, start_term
 from celeryfold.kernel.events import EventKind
 from celeryfold.kernel.ids import Position, SlotId, Term
-from celeryfold.platform.slot import SlotRole, SlotStatus
 
 A, B, C = SlotId("a"), SlotId("b"), SlotId("c")
 
--- a/celeryfold/home/batches.py
+++ b/celeryfold/home/batches.py
@@ -8,15 +8,15 @@
 
 import trio
 
-from ..exceptions import RequestFailure
-from ..kernel.errors import ErrorKind
-from ..platform.slot import (
+from ..drivers.slot import (
     AnswerLost,
     BatchAnswer,
     NotPrimary,
     Statement,
     StatementRejected,
 )
+from ..exceptions import RequestFailure
+from ..kernel.errors import ErrorKind
 from .pool import Lease
 
 ROLLBACK_TIMEOUT_S = 0.3
--- a/celeryfold/home/messages.py
+++ b/celeryfold/home/messages.py
@@ -17,6 +17,7 @@
 
 import msgspec
 
+from ..drivers.slot import ResultSet, Statement
 from ..kernel.ids import (
     GroupId,
     Position,
@@ -26,7 +27,6 @@
     Term,
     TransactionId,
 )
-from ..platform.slot import ResultSet, Statement
 
 
 class RunRead(msgspec.Struct, frozen=True, array_like=True, tag="read"):
--- a/celeryfold/home/outcomes.py
+++ b/celeryfold/home/outcomes.py
@@ -13,9 +13,9 @@
 
 import msgspec
 
+from ..drivers.slot import ResultSet, Statement
 from ..exceptions import RequestFailure
 from ..kernel.errors import ErrorKind
-from ..platform.slot import ResultSet, Statement
 
 CANCELLED = "cancelled"
 
--- a/celeryfold/home/pool.py
+++ b/celeryfold/home/pool.py
@@ -8,11 +8,11 @@
 
 import trio
 
+from ..drivers.slot import Connection, ConnectionRefused, Slot, SlotUnreachable
 from ..exceptions import CeleryfoldError, RequestFailure
 from ..kernel.errors import ErrorKind
 from ..kernel.ids import ServiceId
 from ..kernel.metrics import Metrics
-from ..platform.slot import Connection, ConnectionRefused, Slot, SlotUnreachable
 from .queue import Ticket, WorkQueue
 from .work import WorkHistory
 
--- a/celeryfold/home/ports.py
+++ b/celeryfold/home/ports.py
@@ -7,9 +7,9 @@
 from abc import ABC, abstractmethod
 
 from ..config.objects import Catalog
+from ..drivers.slot import Slot
 from ..groups.freshness import Sample
 from ..kernel.ids import GroupId, InstanceId, SlotId
-from ..platform.slot import Slot
 
 
 class HomePorts(ABC):
--- a/celeryfold/home/reads.py
+++ b/celeryfold/home/reads.py
@@ -8,13 +8,13 @@
 
 import trio
 
+from ..drivers.slot import BatchAnswer
 from ..exceptions import RequestFailure
 from ..groups.book import RecordBook
 from ..groups.sampling import SampleDesk
 from ..kernel.errors import ErrorKind
 from ..kernel.ids import GroupId, Position, SlotId, Term
 from ..kernel.metrics import Metrics
-from ..platform.slot import BatchAnswer
 from .batches import run_batch
 from .messages import RunRead, StatementAnswer
 from .pool import SlotPool
--- a/celeryfold/home/transactions.py
+++ b/celeryfold/home/transactions.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from ..drivers.slot import ResultSet, Statement
 from ..exceptions import RequestFailure
 from ..kernel.errors import ErrorKind
 from ..kernel.ids import (
@@ -19,7 +20,6 @@
     Term,
     TransactionId,
 )
-from ..platform.slot import ResultSet, Statement
 from .batches import run_batch
 from .messages import Begin, BeginReply, Finish, RunInTransaction, StatementAnswer
 from .outcomes import insert_outcome
--- a/celeryfold/home/writes.py
+++ b/celeryfold/home/writes.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from ..drivers.slot import BatchAnswer, ResultSet
 from ..exceptions import RequestFailure
 from ..groups.acknowledgement import Acknowledgements
 from ..groups.book import RecordBook
@@ -16,7 +17,6 @@
 from ..kernel.events import EventKind, Timeline
 from ..kernel.ids import GroupId, Position, Term
 from ..kernel.metrics import Metrics
-from ..platform.slot import BatchAnswer, ResultSet
 from .batches import run_batch
 from .messages import CancelKey, RunWrite, StatementAnswer
 from .outcomes import (
--- a/celeryfold/instance.py
+++ b/celeryfold/instance.py
@@ -14,6 +14,9 @@
 
 from .config.adoption import Configuration
 from .config.objects import Catalog, SlotDefinition, UpstreamGroup
+from .drivers.listing import InstanceList
+from .drivers.slot import Slot
+from .drivers.store import Store
 from .entry.entry import Entry
 from .entry.router import Router
 from .entry.sender import EntryPorts
@@ -44,9 +47,6 @@
 from .kernel.events import EventKind, Timeline
 from .kernel.ids import GroupId, InstanceId, SlotId
 from .kernel.metrics import Metrics
-from .platform.listing import InstanceList
-from .platform.slot import Slot
-from .platform.store import Store
 
 log = logging.getLogger(__name__)
 
--- a/celeryfold/standins/listing.py
+++ b/celeryfold/standins/listing.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from ..platform.listing import Listing
+from ..drivers.listing import Listing
 from .faults import Faults
 
 
--- a/celeryfold/standins/local.py
+++ b/celeryfold/standins/local.py
@@ -17,11 +17,8 @@
 import msgspec
 import trio
 
-from ..exceptions import CeleryfoldError
-from ..fleet.link import PeerLink, PeerUnreachable
-from ..kernel.ids import Position, SlotId, Term
-from ..platform.listing import InstanceList, Listing, ListUnavailable
-from ..platform.slot import (
+from ..drivers.listing import InstanceList, Listing, ListUnavailable
+from ..drivers.slot import (
     NO_POSITION,
     AnswerLost,
     BatchAnswer,
@@ -31,7 +28,10 @@
     SlotUnreachable,
     Statement,
 )
-from ..platform.store import Store, StoreEntry, StoreUnavailable
+from ..drivers.store import Store, StoreEntry, StoreUnavailable
+from ..exceptions import CeleryfoldError
+from ..fleet.link import PeerLink, PeerUnreachable
+from ..kernel.ids import Position, SlotId, Term
 from .faults import Faults
 from .listing import ListEngine
 from .log import LogBatch
--- a/celeryfold/standins/log.py
+++ b/celeryfold/standins/log.py
@@ -9,8 +9,8 @@
 
 import msgspec
 
+from ..drivers.slot import Statement
 from ..kernel.ids import Position, SlotId, Term
-from ..platform.slot import Statement
 
 
 class LogEntry(msgspec.Struct, frozen=True):
--- a/celeryfold/standins/servers.py
+++ b/celeryfold/standins/servers.py
@@ -10,11 +10,8 @@
 import msgspec
 import trio
 
-from ..exceptions import CeleryfoldError, RequestFailure
-from ..kernel.errors import ErrorKind
-from ..kernel.ids import Position, SlotId, Term
-from ..platform.listing import Listing
-from ..platform.requests import (
+from ..drivers.listing import Listing
+from ..drivers.requests import (
     ExecuteBody,
     FollowBody,
     PromoteBody,
@@ -24,7 +21,7 @@
     SwapResult,
     WatchResult,
 )
-from ..platform.slot import (
+from ..drivers.slot import (
     AnswerLost,
     ConnectionRefused,
     NotPrimary,
@@ -32,7 +29,10 @@
     SlotUnreachable,
     StatementRejected,
 )
-from ..platform.store import StoreConflict
+from ..drivers.store import StoreConflict
+from ..exceptions import CeleryfoldError, RequestFailure
+from ..kernel.errors import ErrorKind
+from ..kernel.ids import Position, SlotId, Term
 from ..wire.client import HttpClient, Unanswered, Unreachable
 from ..wire.messages import HttpRequest, HttpResponse
 from ..wire.server import ConnectionHandler, HttpServer
--- a/celeryfold/standins/session.py
+++ b/celeryfold/standins/session.py
@@ -10,8 +10,7 @@
 
 import trio
 
-from ..kernel.ids import Position, Term
-from ..platform.slot import (
+from ..drivers.slot import (
     AnswerLost,
     BatchAnswer,
     NotPrimary,
@@ -20,6 +19,7 @@
     Statement,
     StatementRejected,
 )
+from ..kernel.ids import Position, Term
 from .log import LogEntry
 
 if TYPE_CHECKING:
--- a/celeryfold/standins/slot.py
+++ b/celeryfold/standins/slot.py
@@ -9,14 +9,14 @@
 import msgspec
 import trio
 
-from ..kernel.ids import Position, SlotId, Term
-from ..platform.slot import (
+from ..drivers.slot import (
     ConnectionRefused,
     OrderRefused,
     SlotRole,
     SlotStatus,
     SlotUnreachable,
 )
+from ..kernel.ids import Position, SlotId, Term
 from .faults import Faults
 from .log import LogBatch, LogEntry, LogSource, OpenSource
 from .session import SlotSession
--- a/celeryfold/standins/store.py
+++ b/celeryfold/standins/store.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from ..platform.store import StoreConflict, StoreEntry
+from ..drivers.store import StoreConflict, StoreEntry
 from .faults import Faults
 
 
--- a/celeryfold/tests/test_instance.py
+++ b/celeryfold/tests/test_instance.py
@@ -6,6 +6,7 @@
 
 from celeryfold.bench.crowd import SERVICE, make_small_world
 from celeryfold.bench.world import World, run_world
+from celeryfold.drivers.slot import Statement
 from celeryfold.exceptions import RequestFailure
 from celeryfold.home.messages import RunRead
 from celeryfold.kernel.errors import ErrorKind
@@ -18,7 +19,6 @@
     SlotId,
     Term,
 )
-from celeryfold.platform.slot import Statement
 
 
 def make_read() -> RunRead:
--- a/celeryfold/tests/test_mechanisms.py
+++ b/celeryfold/tests/test_mechanisms.py
@@ -16,13 +16,13 @@
 from celeryfold.bench.history import History, Verdict
 from celeryfold.bench.world import LocalDoor, World, run_world
 from celeryfold.conftest import count_examples
+from celeryfold.drivers.listing import Listing
 from celeryfold.entry.requests import Mode, StatementRequest, StatementResponse
 from celeryfold.groups.acknowledgement import Acknowledgements
 from celeryfold.groups.freshness import SampleShelf
 from celeryfold.home import batches, reads, writes
 from celeryfold.kernel.errors import ErrorKind
 from celeryfold.kernel.ids import GroupId, InstanceId, SlotId
-from celeryfold.platform.listing import Listing
 
 pytestmark = pytest.mark.proof
 
