--- a/celeryfold/__main__.py
+++ b/celeryfold/__main__.py
@@ -58,6 +58,15 @@
     command.run(settings)
 
 
+@main.command()
+@click.option("--settings", type=FILE, help="JSON settings file of the platform.")
+def proxy(settings: Path | None) -> None:
+    """Run an instance on the users' platform until SIGTERM."""
+    from .commands import proxy as command
+
+    command.run(settings)
+
+
 @main.command()
 @click.argument("kind", type=click.Choice(["slot", "store", "list"]))
 @click.option("--settings", type=FILE, required=True, help="JSON settings file.")
--- /dev/null
+++ b/celeryfold/commands/proxy.py
@@ -0,0 +1,117 @@
+"""Run an instance of the proxy on the users' platform."""
+
+from __future__ import annotations
+
+__all__ = ["run"]
+
+import gc
+import logging
+import os
+import signal
+from pathlib import Path
+
+import trio
+
+from ..exceptions import BadInput
+from ..kernel.logs import start_output_logging
+from ..kernel.metrics import Metrics
+from ..links.zmq_link import ZmqLink
+from ..platform.clients import LineClientChannel
+from ..platform.connections import LineConnector
+from ..platform.entries import PlatformEntryDecoder
+from ..platform.pages import ProbeHandler
+from ..platform.promotions import HttpPromotions
+from ..platform.settings import PlatformSettings, load_platform_settings
+from ..platform.store import HttpCoordinationStore
+from ..proxy.clock import read_boot_clock
+from ..proxy.instance import Platform, ProxyInstance
+from ..proxy.messages import PEER_CODEC
+from ..wire.client import split_address
+from ..wire.server import HttpServer
+
+log = logging.getLogger(__name__)
+
+SETTINGS_VARIABLE = "CELERYFOLD_BOOT"
+# Where the deploy file says that metrics are read.
+METRICS_PORT = 9464
+N_ALLOCATIONS_A_COLLECTION = 20_000
+
+
+def run(settings_path: Path | None) -> None:
+    """Run until SIGTERM."""
+    path = settings_path or _find_settings()
+    settings = load_platform_settings(path)
+    start_output_logging("INFO", settings.instance)
+    trio.run(_run, settings, path)
+
+
+def _find_settings() -> Path:
+    text = os.environ.get(SETTINGS_VARIABLE)
+    if not text:
+        raise BadInput(f"{SETTINGS_VARIABLE} is not set; set it or give --settings")
+    return Path(text)
+
+
+def make_instance(settings: PlatformSettings, metrics: Metrics) -> ProxyInstance:
+    """Return an instance with the platform's drivers."""
+    platform = Platform(
+        store=HttpCoordinationStore(settings.store, metrics),
+        decoder=PlatformEntryDecoder(),
+        connector=LineConnector(settings.instance),
+        promotions=HttpPromotions(settings.promotions, metrics),
+        make_channel=LineClientChannel,
+    )
+    host, port = split_address(settings.peers)
+    link = ZmqLink(host, port, PEER_CODEC, metrics=metrics)
+    proxy_settings = settings.make_proxy_settings()
+    return ProxyInstance(proxy_settings, platform, link, read_boot_clock, metrics)
+
+
+async def _run(settings: PlatformSettings, path: Path) -> None:
+    metrics = Metrics()
+    instance = make_instance(settings, metrics)
+    link = instance.link
+    assert isinstance(link, ZmqLink)
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
+        async with trio.open_nursery() as nursery:
+            await link.start(nursery)
+            await instance.start(nursery)
+            for address in _list_page_addresses(settings):
+                host, port = split_address(address)
+                server = HttpServer(
+                    host, port, lambda: ProbeHandler(lambda: instance.is_ready, metrics)
+                )
+                await server.start(nursery)
+            _spare_collections()
+            log.info("instance started", extra={"place": settings.data_centre})
+            async for number in signals:
+                if number == signal.SIGTERM:
+                    break
+                _reload(path, settings)
+            log.info("instance stopping", extra={"grace_s": settings.grace_s})
+            await instance.stop()
+            log.info("instance stopped", extra={"n_sessions": instance.door.n_sessions})
+            await instance.close()
+            nursery.cancel_scope.cancel()
+
+
+def _list_page_addresses(settings: PlatformSettings) -> list[str]:
+    host, _ = split_address(settings.probes)
+    return [settings.probes, f"{host}:{METRICS_PORT}"]
+
+
+def _reload(path: Path, settings: PlatformSettings) -> None:
+    """Check changed settings; addresses hold until the next start."""
+    try:
+        changed = load_platform_settings(path)
+    except BadInput as error:
+        log.error("settings not reloaded", extra={"reason": str(error)})
+        return
+    log.info("settings reloaded", extra={"is_same": changed == settings})
+
+
+def _spare_collections() -> None:
+    """Have the garbage collector run seldom, and not over what lives for ever."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(N_ALLOCATIONS_A_COLLECTION)
--- a/celeryfold/daemon.py
+++ b/celeryfold/daemon.py
@@ -20,10 +20,11 @@
 from .drivers.slot import SLOT_DRIVERS, Slot
 from .exceptions import BadInput
 from .fleet.members import Member
-from .fleet.zmq_link import PeerKeys, ZmqLink
+from .fleet.messages import FLEET_CODEC
 from .instance import Instance, Platform
 from .kernel.events import Timeline
 from .kernel.metrics import Metrics
+from .links.zmq_link import PeerKeys, ZmqLink
 from .wire.server import HttpServer
 
 log = logging.getLogger(__name__)
@@ -87,6 +88,7 @@
     link = ZmqLink(
         settings.peer.host,
         settings.peer.port,
+        FLEET_CODEC,
         timeline.clock,
         metrics,
         _load_peer_keys(settings),
--- a/celeryfold/entry/entry.py
+++ b/celeryfold/entry/entry.py
@@ -15,7 +15,6 @@
 from ..config.objects import Service, UpstreamGroup
 from ..drivers.slot import Statement
 from ..exceptions import RequestFailure
-from ..fleet.link import PeerUnreachable
 from ..groups.book import RecordBook
 from ..home.messages import (
     Begin,
@@ -38,6 +37,7 @@
     make_request_id,
 )
 from ..kernel.metrics import Metrics
+from ..links.link import PeerUnreachable
 from .requests import (
     MAX_KEY_LENGTH,
     BeginRequest,
--- a/celeryfold/entry/sender.py
+++ b/celeryfold/entry/sender.py
@@ -13,7 +13,6 @@
 
 from ..config.objects import Catalog
 from ..exceptions import RequestFailure
-from ..fleet.link import PeerUnreachable
 from ..fleet.members import Member
 from ..groups.book import RecordBook
 from ..home.messages import Begin
@@ -21,6 +20,7 @@
 from ..kernel.errors import ANSWERS, ErrorKind, Ran
 from ..kernel.ids import GroupId, InstanceId, ServiceId, SlotId, TransactionId
 from ..kernel.metrics import Metrics
+from ..links.link import PeerUnreachable
 from .retries import RetryBudget
 from .router import Router
 
--- a/celeryfold/fleet/__init__.py
+++ b/celeryfold/fleet/__init__.py
@@ -4,6 +4,6 @@
 
 __all__ = ["Member", "MemberState", "Membership", "PeerLink", "PeerUnreachable"]
 
-from .link import PeerLink, PeerUnreachable
+from ..links.link import PeerLink, PeerUnreachable
 from .members import Member, MemberState
 from .membership import Membership
--- a/celeryfold/fleet/knowledge.py
+++ b/celeryfold/fleet/knowledge.py
@@ -20,7 +20,7 @@
 from ..groups.record import GroupRecord
 from ..kernel.events import EventKind, Timeline
 from ..kernel.ids import GroupId, SlotId
-from .link import PeerLink
+from ..links.link import PeerLink
 from .members import ConfigNews, News, RecordNews, SlotNews
 from .membership import KnowledgePorts, Membership
 from .messages import ConfigReply, FetchConfig
--- a/celeryfold/fleet/membership.py
+++ b/celeryfold/fleet/membership.py
@@ -17,7 +17,7 @@
 from ..kernel.events import EventKind, Timeline
 from ..kernel.ids import InstanceId, PlaceId
 from ..kernel.metrics import Metrics
-from .link import PeerLink
+from ..links.link import PeerLink
 from .members import Member, MemberNews, MemberState, News
 from .messages import (
     FetchState,
--- a/celeryfold/fleet/messages.py
+++ b/celeryfold/fleet/messages.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 __all__ = [
+    "FLEET_CODEC",
     "CheckSlot",
     "CheckSlotReply",
     "ConfigReply",
-    "Envelope",
-    "FailureReply",
     "FetchConfig",
     "FetchState",
     "FleetState",
@@ -15,8 +14,6 @@
     "ProbeFor",
     "ProbeReply",
     "Tell",
-    "decode_envelope",
-    "encode_envelope",
 ]
 
 import msgspec
@@ -33,8 +30,8 @@
     TakeSample,
     TakeSampleReply,
 )
-from ..kernel.errors import ErrorKind
 from ..kernel.ids import Generation, InstanceId, SlotId
+from ..links.codec import MessageCodec
 from .members import Member, News
 
 
@@ -107,14 +104,6 @@
     reached: bool
 
 
-class FailureReply(msgspec.Struct, frozen=True, array_like=True, tag="failure"):
-    """Carry a request failure back to the peer that asked."""
-
-    kind: ErrorKind
-    message: str
-    retry_after_s: float | None = None
-
-
 Message = (
     Probe
     | ProbeReply
@@ -126,7 +115,6 @@
     | ConfigReply
     | CheckSlot
     | CheckSlotReply
-    | FailureReply
     | RunRead
     | RunWrite
     | StatementAnswer
@@ -139,31 +127,4 @@
     | TakeSampleReply
 )
 
-
-class Envelope(msgspec.Struct, frozen=True, array_like=True):
-    """Wrap a message with what matches replies to requests.
-
-    :param number: chosen by the asker; the reply carries the same.
-    :param stamp_ms: the sender's hybrid time.
-    """
-
-    number: int
-    stamp_ms: int
-    message: Message
-
-
-_encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(Envelope)
-
-
-def encode_envelope(envelope: Envelope) -> bytes:
-    """Return the bytes of an envelope."""
-    return _encoder.encode(envelope)
-
-
-def decode_envelope(data: bytes) -> Envelope:
-    """Return the envelope in the bytes.
-
-    :raises msgspec.DecodeError: where they hold none.
-    """
-    return _decoder.decode(data)
+FLEET_CODEC = MessageCodec(Message)
--- a/celeryfold/fleet/placement.py
+++ b/celeryfold/fleet/placement.py
@@ -6,23 +6,17 @@
 
 from __future__ import annotations
 
-__all__ = ["Placement", "find_guarded", "rank_members", "weigh"]
+__all__ = ["Placement", "find_guarded", "rank_members"]
 
 from collections import defaultdict
 from collections.abc import Callable, Collection, Iterable
 
-import xxhash
-
 from ..config.objects import Catalog
 from ..kernel.ids import GroupId, InstanceId, PlaceId, SlotId
+from ..kernel.rendezvous import weigh
 from .members import Member
 
 
-def weigh(key: str, name: str) -> int:
-    """Return the rendezvous weight of a name for a key."""
-    return xxhash.xxh64_intdigest(f"{key}|{name}".encode())
-
-
 def rank_members(members: Iterable[Member], key: str) -> list[Member]:
     """Return members by their rendezvous weight for a key, highest first."""
     return sorted(
--- a/celeryfold/instance.py
+++ b/celeryfold/instance.py
@@ -23,7 +23,6 @@
 from .entry.sessions import SessionTokens
 from .exceptions import CeleryfoldError, RequestFailure
 from .fleet.knowledge import Knowledge
-from .fleet.link import PeerLink
 from .fleet.members import Member, SlotNews
 from .fleet.membership import Membership
 from .fleet.messages import CheckSlot, CheckSlotReply
@@ -47,6 +46,7 @@
 from .kernel.events import EventKind, Timeline
 from .kernel.ids import GroupId, InstanceId, SlotId
 from .kernel.metrics import Metrics
+from .links.link import PeerLink
 
 log = logging.getLogger(__name__)
 
--- a/celeryfold/kernel/errors.py
+++ b/celeryfold/kernel/errors.py
@@ -36,6 +36,12 @@
     NOT_CAUGHT_UP = "not_caught_up"
     SHUTTING_DOWN = "shutting_down"
     OUTCOME_UNKNOWN = "outcome_unknown"
+    READ_ONLY = "read_only"
+    WRONG_INSTANCE = "wrong_instance"
+    TOO_MANY_CONNECTIONS = "too_many_connections"
+    UNKNOWN_STATEMENT = "unknown_statement"
+    TIMED_OUT = "timed_out"
+    NOT_AUTHENTICATED = "not_authenticated"
     CONFLICT = "conflict"
     STORE_UNAVAILABLE = "store_unavailable"
     INTERNAL = "internal"
@@ -74,6 +80,12 @@
     ErrorKind.NOT_CAUGHT_UP: Answer(503, Ran.NO, 0.2),
     ErrorKind.SHUTTING_DOWN: Answer(503, Ran.NO, 0.1),
     ErrorKind.OUTCOME_UNKNOWN: Answer(504, Ran.UNKNOWN, 0.5),
+    ErrorKind.READ_ONLY: Answer(503, Ran.NO, 0.2),
+    ErrorKind.WRONG_INSTANCE: Answer(503, Ran.NO, 0.2),
+    ErrorKind.TOO_MANY_CONNECTIONS: Answer(503, Ran.NO, 0.5),
+    ErrorKind.UNKNOWN_STATEMENT: Answer(404, Ran.NO),
+    ErrorKind.TIMED_OUT: Answer(504, Ran.UNKNOWN, 0.5),
+    ErrorKind.NOT_AUTHENTICATED: Answer(401, Ran.NO),
     ErrorKind.CONFLICT: Answer(409, Ran.NO),
     ErrorKind.STORE_UNAVAILABLE: Answer(503, Ran.UNKNOWN, 1.0),
     ErrorKind.INTERNAL: Answer(500, Ran.UNKNOWN, 1.0),
--- a/celeryfold/kernel/ids.py
+++ b/celeryfold/kernel/ids.py
@@ -6,6 +6,7 @@
     "Generation",
     "GroupId",
     "InstanceId",
+    "LeaseId",
     "PlaceId",
     "Position",
     "RegionId",
@@ -14,6 +15,7 @@
     "SlotId",
     "Term",
     "TransactionId",
+    "UpstreamId",
     "make_request_id",
 ]
 
@@ -21,6 +23,7 @@
 from typing import NewType
 
 InstanceId = NewType("InstanceId", str)
+LeaseId = NewType("LeaseId", int)
 PlaceId = NewType("PlaceId", str)
 RegionId = NewType("RegionId", str)
 ServiceId = NewType("ServiceId", str)
@@ -28,6 +31,7 @@
 SlotId = NewType("SlotId", str)
 RequestId = NewType("RequestId", str)
 TransactionId = NewType("TransactionId", str)
+UpstreamId = NewType("UpstreamId", str)
 Term = NewType("Term", int)
 Position = NewType("Position", int)
 Generation = NewType("Generation", int)
--- a/celeryfold/kernel/logs.py
+++ b/celeryfold/kernel/logs.py
@@ -2,15 +2,20 @@
 
 from __future__ import annotations
 
-__all__ = ["start_logging"]
+__all__ = ["BoundedHandler", "start_logging", "start_output_logging"]
 
 import logging
+import os
 import sys
+import time
 
 from pythonjsonlogger.json import JsonFormatter
 
 TEXT_FORMAT = "%(asctime)s %(levelname)s %(name)s: %(message)s"
 JSON_FIELDS = ["asctime", "levelname", "name", "message"]
+# Lines a second that a process writes under load, and how many it may save up for.
+N_LINES_A_SECOND = 50.0
+N_LINES_SAVED = 300.0
 
 
 def start_logging(level: str, process: str) -> None:
@@ -23,8 +28,64 @@
     if sys.stderr.isatty():
         handler.setFormatter(logging.Formatter(TEXT_FORMAT))
     else:
-        fields = JsonFormatter(JSON_FIELDS, static_fields={"process": process})
-        handler.setFormatter(fields)
+        handler.setFormatter(_make_formatter(process))
+    _install(handler, level)
+
+
+def start_output_logging(level: str, process: str) -> None:
+    """Send JSON lines to standard output, a bounded number, without ever blocking."""
+    handler = BoundedHandler(sys.stdout.fileno())
+    handler.setFormatter(_make_formatter(process))
+    _install(handler, level)
+
+
+def _make_formatter(process: str) -> JsonFormatter:
+    return JsonFormatter(JSON_FIELDS, static_fields={"process": process})
+
+
+def _install(handler: logging.Handler, level: str) -> None:
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level)
+
+
+class BoundedHandler(logging.Handler):
+    """Write lines to a descriptor; drop and count those over the bound.
+
+    A reader that stalls fills the pipe; lines are then dropped, too.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        super().__init__()
+        self._descriptor = descriptor
+        self._n_allowed = N_LINES_SAVED
+        self._filled_at = time.monotonic()
+        self.n_dropped = 0
+        os.set_blocking(descriptor, False)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one line, or count it as dropped."""
+        if not self._allow():
+            self.n_dropped += 1
+            return
+        if self.n_dropped:
+            record.n_lines_dropped = self.n_dropped
+        try:
+            os.write(self._descriptor, f"{self.format(record)}\n".encode())
+        except BlockingIOError:
+            self.n_dropped += 1
+        except OSError:
+            # Nobody reads any more: there is no other place to report it to.
+            self.n_dropped += 1
+        else:
+            self.n_dropped = 0
+
+    def _allow(self) -> bool:
+        now = time.monotonic()
+        self._n_allowed += (now - self._filled_at) * N_LINES_A_SECOND
+        self._n_allowed = min(self._n_allowed, N_LINES_SAVED)
+        self._filled_at = now
+        if self._n_allowed < 1.0:
+            return False
+        self._n_allowed -= 1.0
+        return True
--- a/celeryfold/kernel/metrics.py
+++ b/celeryfold/kernel/metrics.py
@@ -1,15 +1,27 @@
-"""Counters and timers, kept in the process and sent to statsd."""
+"""Counters and durations, kept in the process, served as a page, sent to statsd."""
 
 from __future__ import annotations
 
 __all__ = ["Metrics"]
 
+import re
 from collections import Counter
+from collections.abc import Iterator
 
+from prometheus_client import CollectorRegistry, Histogram, generate_latest
+from prometheus_client.core import CounterMetricFamily
+from prometheus_client.registry import Collector
 from statsd import StatsClient
 
+# From a statement answered at once to one that used a long timeout up, in seconds.
+DURATION_BUCKETS_S = (
+    *(0.002, 0.005, 0.01, 0.02, 0.05, 0.1),
+    *(0.2, 0.4, 0.8, 1.5, 3.0, 8.0),
+)
+PAGE_PREFIX = "celeryfold"
 
-class Metrics:
+
+class Metrics(Collector):
     """Count what happens; counters are readable here and sent to statsd if set.
 
     :param client: a statsd client, or None to keep the counters local.
@@ -18,6 +30,9 @@
     def __init__(self, client: StatsClient | None = None) -> None:
         self._client = client
         self.counters: Counter[str] = Counter()
+        self._registry = CollectorRegistry()
+        self._registry.register(self)
+        self._histograms: dict[str, Histogram] = {}
 
     @classmethod
     def connect(cls, host: str, port: int, prefix: str) -> Metrics:
@@ -32,5 +47,27 @@
 
     def time(self, name: str, seconds: float) -> None:
         """Record one duration in seconds."""
+        histogram = self._histograms.get(name)
+        if histogram is None:
+            histogram = self._histograms[name] = Histogram(
+                f"{_name_metric(name)}_seconds",
+                f"Durations of {name}",
+                buckets=DURATION_BUCKETS_S,
+                registry=self._registry,
+            )
+        histogram.observe(seconds)
         if self._client is not None:
             self._client.timing(name, seconds * 1000.0)
+
+    def collect(self) -> Iterator[CounterMetricFamily]:
+        """Return all counters for the page of metrics."""
+        for name, value in sorted(self.counters.items()):
+            yield CounterMetricFamily(_name_metric(name), f"Count of {name}", value)
+
+    def render(self) -> bytes:
+        """Return all metrics as a page of text."""
+        return generate_latest(self._registry)
+
+
+def _name_metric(name: str) -> str:
+    return f"{PAGE_PREFIX}_{re.sub('[^a-zA-Z0-9_]', '_', name)}"
--- /dev/null
+++ b/celeryfold/kernel/rendezvous.py
@@ -0,0 +1,12 @@
+"""Rendezvous hashing: everyone computes the same ranking without agreeing on it."""
+
+from __future__ import annotations
+
+__all__ = ["weigh"]
+
+import xxhash
+
+
+def weigh(key: str, name: str) -> int:
+    """Return the rendezvous weight of a name for a key."""
+    return xxhash.xxh64_intdigest(f"{key}|{name}".encode())
--- /dev/null
+++ b/celeryfold/links/__init__.py
@@ -0,0 +1,8 @@
+"""Links between instances: typed requests and replies over pyzmq."""
+
+from __future__ import annotations
+
+__all__ = ["FailureReply", "MessageCodec", "PeerLink", "PeerUnreachable"]
+
+from .codec import FailureReply, MessageCodec
+from .link import PeerLink, PeerUnreachable
--- a/celeryfold/fleet/tests/test_zmq_link.py
+++ b/celeryfold/links/tests/test_zmq_link.py
@@ -9,18 +9,18 @@
 from hypothesis import strategies as st
 
 from celeryfold.conftest import count_examples
-from celeryfold.fleet.link import PeerUnreachable
-from celeryfold.fleet.messages import CheckSlot, CheckSlotReply, decode_envelope
-from celeryfold.fleet.zmq_link import PeerKeys, ZmqLink
+from celeryfold.fleet.messages import FLEET_CODEC, CheckSlot, CheckSlotReply
 from celeryfold.kernel.ids import SlotId
+from celeryfold.links.link import PeerUnreachable
+from celeryfold.links.zmq_link import PeerKeys, ZmqLink
 
 
 async def exchange(n_requests: int) -> list[bool]:
     """Send requests at once over two real links; return the replies in order."""
     replies: dict[int, bool] = {}
     async with trio.open_nursery() as nursery:
-        server = ZmqLink("127.0.0.1", 0)
-        client = ZmqLink("127.0.0.1", 0)
+        server = ZmqLink("127.0.0.1", 0, FLEET_CODEC)
+        client = ZmqLink("127.0.0.1", 0, FLEET_CODEC)
 
         async def answer(message: CheckSlot) -> CheckSlotReply:
             number = int(message.slot)
@@ -59,8 +59,8 @@
 async def ask_with_keys(server_keys: PeerKeys, client_keys: PeerKeys) -> bool:
     """Ask over a link with keys; tell whether a reply came."""
     async with trio.open_nursery() as nursery:
-        server = ZmqLink("127.0.0.1", 0, keys=server_keys)
-        client = ZmqLink("127.0.0.1", 0, keys=client_keys)
+        server = ZmqLink("127.0.0.1", 0, FLEET_CODEC, keys=server_keys)
+        client = ZmqLink("127.0.0.1", 0, FLEET_CODEC, keys=client_keys)
 
         async def answer(message: CheckSlot) -> CheckSlotReply:
             return CheckSlotReply(True)
@@ -92,7 +92,7 @@
 @given(st.binary(max_size=200))
 def test_garbage_is_no_envelope(data):
     try:
-        decode_envelope(data)
+        FLEET_CODEC.decode(data)
     except msgspec.DecodeError:
         return
 
@@ -103,8 +103,8 @@
     rogue = context.socket(zmq.DEALER)
     rogue.linger = 0
     async with trio.open_nursery() as nursery:
-        server = ZmqLink("127.0.0.1", 0)
-        client = ZmqLink("127.0.0.1", 0)
+        server = ZmqLink("127.0.0.1", 0, FLEET_CODEC)
+        client = ZmqLink("127.0.0.1", 0, FLEET_CODEC)
 
         async def answer(message: CheckSlot) -> CheckSlotReply:
             return CheckSlotReply(True)
@@ -161,8 +161,8 @@
     """Ask over a link whose open connection goes silent after the first reply."""
     replied: list[bool] = []
     async with trio.open_nursery() as nursery:
-        server = ZmqLink("127.0.0.1", 0)
-        client = ZmqLink("127.0.0.1", 0)
+        server = ZmqLink("127.0.0.1", 0, FLEET_CODEC)
+        client = ZmqLink("127.0.0.1", 0, FLEET_CODEC)
 
         async def answer(message: CheckSlot) -> CheckSlotReply:
             return CheckSlotReply(True)
--- a/celeryfold/fleet/zmq_link.py
+++ b/celeryfold/links/zmq_link.py
@@ -18,13 +18,8 @@
 from ..kernel.errors import ErrorKind
 from ..kernel.events import HybridClock
 from ..kernel.metrics import Metrics
+from .codec import Envelope, FailureReply, MessageCodec
 from .link import PeerLink, PeerUnreachable
-from .messages import (
-    Envelope,
-    FailureReply,
-    decode_envelope,
-    encode_envelope,
-)
 
 log = logging.getLogger(__name__)
 
@@ -66,6 +61,7 @@
 class ZmqLink(PeerLink):
     """Serve on one TCP address and keep one connection to each peer in use.
 
+    :param codec: the codec of the messages that are exchanged.
     :param keys: CURVE keys, or None for plain TCP.
     """
 
@@ -73,6 +69,7 @@
         self,
         host: str,
         port: int,
+        codec: MessageCodec,
         clock: HybridClock | None = None,
         metrics: Metrics | None = None,
         keys: PeerKeys | None = None,
@@ -80,6 +77,7 @@
         super().__init__()
         self.host = host
         self.port = port
+        self._codec = codec
         self._clock = clock or HybridClock()
         self._metrics = metrics or Metrics()
         self._keys = keys
@@ -150,17 +148,17 @@
             if envelope is not None and self._nursery is not None:
                 self._nursery.start_soon(self._answer, identity, envelope)
 
-    def _decode(self, data: bytes) -> Envelope | None:
+    def _decode(self, data: bytes) -> Envelope[Any] | None:
         self._metrics.count("peer.bytes_received", len(data))
         try:
-            envelope = decode_envelope(data)
+            envelope = self._codec.decode(data)
         except msgspec.DecodeError:
             self._metrics.count("peer.unreadable")
             return None
         self._clock.observe(envelope.stamp_ms)
         return envelope
 
-    async def _answer(self, identity: bytes, envelope: Envelope) -> None:
+    async def _answer(self, identity: bytes, envelope: Envelope[Any]) -> None:
         handler = self.handlers.get(type(envelope.message))
         if handler is None:
             self._metrics.count("peer.unexpected")
@@ -183,7 +181,7 @@
 
     def _encode(self, number: int, message: Any) -> bytes:
         stamp_ms, _ = self._clock.advance()
-        data = encode_envelope(Envelope(number, stamp_ms, message))
+        data = self._codec.encode(Envelope(number, stamp_ms, message))
         self._metrics.count("peer.bytes_sent", len(data))
         return data
 
--- /dev/null
+++ b/celeryfold/platform/clients.py
@@ -0,0 +1,93 @@
+"""Connections of clients in the session protocol."""
+
+from __future__ import annotations
+
+__all__ = ["LineClientChannel"]
+
+import trio
+
+from ..exceptions import BadInput
+from ..kernel.errors import ErrorKind
+from ..kernel.ids import RequestId
+from ..proxy.calls import Answer
+from ..proxy.door import (
+    ClientChannel,
+    ClientGone,
+    ClientMessage,
+    MalformedMessage,
+    Query,
+    StartSession,
+    Terminate,
+)
+from ..proxy.upstream import UpstreamError
+from .lines import LineStream, LineTooLong
+from .words import decode_query, encode_error, encode_state
+
+_BROKEN = (OSError, trio.BrokenResourceError, trio.ClosedResourceError)
+
+
+class LineClientChannel(ClientChannel):
+    """One client's connection."""
+
+    def __init__(self, stream: trio.SocketStream) -> None:
+        self._lines = LineStream(stream)
+
+    async def receive(self) -> ClientMessage:
+        """Return the next message."""
+        try:
+            line = await self._lines.receive()
+        except LineTooLong as error:
+            return MalformedMessage(ErrorKind.BODY_TOO_LARGE, str(error), True)
+        except _BROKEN as error:
+            raise ClientGone("the connection broke") from error
+        if line is None:
+            raise ClientGone("the client closed the connection")
+        return _decode_line(line)
+
+    async def accept(self) -> None:
+        """Tell the client that its session is open."""
+        await self._send(["READY I -"])
+
+    async def reject(self, error: UpstreamError) -> None:
+        """Tell the client that there is no session."""
+        await self._send([encode_error(error)])
+
+    async def answer(self, answer: Answer) -> None:
+        """Answer the message received last."""
+        lines = [f"ROW {row}" for row in answer.rows]
+        if answer.error is not None:
+            lines = [encode_error(answer.error)]
+        else:
+            lines.append(f"COMPLETE {answer.signature or '-'}")
+        lines.append(f"READY {encode_state(answer.state)} -")
+        await self._send(lines)
+
+    async def _send(self, lines: list[str]) -> None:
+        try:
+            await self._lines.send(lines)
+        except _BROKEN as error:
+            raise ClientGone("the connection broke") from error
+
+    async def close(self) -> None:
+        """Close the connection."""
+        await self._lines.close()
+
+
+def _decode_line(line: bytes) -> ClientMessage:
+    text = line.decode("utf-8", "surrogateescape")
+    word, _, rest = text.partition(" ")
+    if word == "QUERY":
+        request_id, _, query = rest.partition(" ")
+        if not request_id or request_id == "-":
+            return MalformedMessage(ErrorKind.BAD_REQUEST, "QUERY needs an id")
+        try:
+            return Query(RequestId(request_id), decode_query(query))
+        except BadInput as error:
+            return MalformedMessage(ErrorKind.BAD_REQUEST, str(error))
+    if word == "START" and rest:
+        # Fields after the name are for the databases' own use.
+        return StartSession(rest.split(" ", 1)[0])
+    if word == "TERMINATE":
+        return Terminate()
+    text = f"no message starts with '{word[:20]}'; use START, QUERY or TERMINATE"
+    return MalformedMessage(ErrorKind.BAD_REQUEST, text)
--- /dev/null
+++ b/celeryfold/platform/connections.py
@@ -0,0 +1,166 @@
+"""Connections to databases in the session protocol."""
+
+from __future__ import annotations
+
+__all__ = ["LineConnection", "LineConnector"]
+
+from collections import deque
+from collections.abc import Sequence
+
+import trio
+
+from ..kernel.errors import ErrorKind
+from ..proxy.statements import Demote, Pause, ReadStatus, Request
+from ..proxy.upstream import (
+    ConnectFailed,
+    ConnectFailure,
+    ConnectionLost,
+    Connector,
+    Reply,
+    Upstream,
+    UpstreamConnection,
+    UpstreamError,
+)
+from ..wire.client import split_address
+from .lines import LineStream, LineTooLong
+from .words import (
+    decode_position,
+    decode_state,
+    decode_status,
+    encode_request,
+    find_error_kind,
+)
+
+# Opening takes up to 30 ms of the database's time and may wait behind statements.
+CONNECT_TIMEOUT_S = 1.0
+
+_FAILURES = {
+    ErrorKind.TOO_MANY_CONNECTIONS: ConnectFailure.TOO_MANY,
+    ErrorKind.WRONG_INSTANCE: ConnectFailure.WRONG_INSTANCE,
+}
+_BROKEN = (OSError, trio.BrokenResourceError, trio.ClosedResourceError, LineTooLong)
+
+
+class LineConnection(UpstreamConnection):
+    """One connection to a database."""
+
+    def __init__(self, lines: LineStream) -> None:
+        self._lines = lines
+        self._unanswered: deque[Request] = deque()
+
+    async def start(self, service: str, caller: str, expected_id: str) -> None:
+        """Name the service and the database that are meant.
+
+        :raises ConnectFailed: where the database refuses.
+        :raises ConnectionLost: where no answer comes.
+        """
+        await self._send([f"START {service} {caller} {expected_id}"])
+        word, _, rest = (await self._receive_line()).partition(" ")
+        if word == "READY":
+            return
+        code, _, text = rest.partition(" ")
+        kind = find_error_kind(code) if word == "ERROR" else ErrorKind.INTERNAL
+        failure = _FAILURES.get(kind, ConnectFailure.UNREACHABLE)
+        raise ConnectFailed(failure, f"{expected_id} refused: {code} {text}")
+
+    async def send(self, requests: Sequence[Request]) -> None:
+        """Send requests in one piece."""
+        self._unanswered.extend(requests)
+        await self._send([encode_request(request) for request in requests])
+
+    async def _send(self, lines: list[str]) -> None:
+        try:
+            await self._lines.send(lines)
+        except _BROKEN as error:
+            raise ConnectionLost("the connection broke") from error
+
+    async def _receive_line(self) -> str:
+        try:
+            line = await self._lines.receive()
+        except _BROKEN as error:
+            raise ConnectionLost("the connection broke") from error
+        if line is None:
+            raise ConnectionLost("the database closed the connection")
+        return line.decode("utf-8", "surrogateescape")
+
+    async def receive(self) -> Reply:
+        """Return the reply to the oldest request without one."""
+        request = self._unanswered.popleft()
+        rows: list[str] = []
+        signature = ""
+        error: UpstreamError | None = None
+        while True:
+            word, _, rest = (await self._receive_line()).partition(" ")
+            if word == "ROW":
+                rows.append(rest)
+            elif word == "COMPLETE":
+                signature = rest
+            elif word == "ERROR":
+                code, _, text = rest.partition(" ")
+                error = UpstreamError(find_error_kind(code), text)
+            elif word == "READY" and (signature or error is not None):
+                return _make_reply(request, rows, signature, error, rest)
+            else:
+                raise ConnectionLost(f"the database sent '{word[:20]}' out of place")
+
+    def is_broken(self) -> bool:
+        """Tell whether the connection has ended or holds bytes nobody asked for."""
+        return self._lines.has_data()
+
+    async def close(self) -> None:
+        """Close the connection at once."""
+        await self._lines.close()
+
+
+def _make_reply(
+    request: Request,
+    rows: list[str],
+    signature: str,
+    error: UpstreamError | None,
+    ready: str,
+) -> Reply:
+    try:
+        state, _, position = ready.partition(" ")
+        is_order = isinstance(request.statement, ReadStatus | Pause | Demote)
+        has_status = is_order and error is None
+        return Reply(
+            rows=tuple(rows),
+            signature=signature,
+            error=error,
+            state=decode_state(state),
+            position=decode_position(position),
+            status=decode_status(rows[0]) if has_status else None,
+        )
+    except (ValueError, KeyError, IndexError) as mistake:
+        raise ConnectionLost(f"unreadable answer: {ready[:40]}") from mistake
+
+
+class LineConnector(Connector):
+    """Open connections to databases.
+
+    :param caller: what this instance calls itself.
+    """
+
+    def __init__(self, caller: str) -> None:
+        self._caller = caller
+
+    async def connect(self, upstream: Upstream) -> UpstreamConnection:
+        """Open a connection to exactly this database."""
+        host, port = split_address(upstream.address)
+        connection: LineConnection | None = None
+        try:
+            with trio.fail_after(CONNECT_TIMEOUT_S):
+                stream = await trio.open_tcp_stream(host, port)
+                connection = LineConnection(LineStream(stream))
+                await connection.start(
+                    upstream.service, self._caller, upstream.upstream_id
+                )
+                return connection
+        except BaseException as error:
+            if connection is not None:
+                with trio.CancelScope(shield=True):
+                    await connection.close()
+            if isinstance(error, OSError | trio.TooSlowError | ConnectionLost):
+                text = f"{upstream.upstream_id} at {upstream.address}: {error!r}"
+                raise ConnectFailed(ConnectFailure.UNREACHABLE, text) from error
+            raise
--- /dev/null
+++ b/celeryfold/platform/entries.py
@@ -0,0 +1,133 @@
+"""What databases and the operator write to the platform's store."""
+
+from __future__ import annotations
+
+__all__ = ["PlatformEntryDecoder"]
+
+from typing import Annotated
+
+import msgspec
+
+from ..exceptions import BadInput
+from ..kernel.ids import Generation, PlaceId, ServiceId, UpstreamId
+from ..proxy.routes import Consistency, Route, RouteTable, ServiceRules
+from ..proxy.upstream import Upstream, UpstreamRole
+from ..proxy.watcher import EntryDecoder
+
+DEFAULT_N_CONNECTIONS = 16
+
+_CONSISTENCIES = {
+    "primary": Consistency.PRIMARY,
+    "bounded_staleness": Consistency.BOUNDED,
+    "read_your_writes": Consistency.OWN_WRITES,
+}
+_ROLES = {"primary": UpstreamRole.PRIMARY, "replica": UpstreamRole.REPLICA}
+_STATES = {"ready": False, "draining": True}
+_Text = Annotated[str, msgspec.Meta(min_length=1)]
+
+
+class _ServerEntry(msgspec.Struct):
+    """A database's own entry.
+
+    ``slots``: statements that it runs at once; ``born``: Unix milliseconds of its
+    start; ``cold_ms``: how much longer it is slow after its start.
+    """
+
+    service: _Text
+    address: _Text
+    zone: _Text
+    slots: int
+    state: str
+    seq_no: int
+    db_role: str | None = None
+    born: int = 0
+    cold_ms: float = 0
+
+
+class _RouteBody(msgspec.Struct):
+    """A route; ``host`` is the name of a database, ``type`` the rule for its reads."""
+
+    host: str
+    type: str
+    service: str
+    timeout_ms: float
+    target_latency_ms: float
+    priority: int = 0
+    max_staleness_ms: float = 0
+
+
+class _ServiceBody(msgspec.Struct):
+    name: str
+    max_conns: int = DEFAULT_N_CONNECTIONS
+    sync_replicas: int = 0
+
+
+class _LimitsBody(msgspec.Struct):
+    tx_idle_ms: float = 3000
+
+
+class _ConfigBody(msgspec.Struct):
+    version: int
+    routes: list[_RouteBody]
+    services: list[_ServiceBody]
+    limits: _LimitsBody = msgspec.field(default_factory=_LimitsBody)
+
+
+class PlatformEntryDecoder(EntryDecoder):
+    """Decode entries of the store."""
+
+    upstream_prefix = "servers/"
+    table_key = "op/config"
+
+    def decode_upstream(self, upstream_id: UpstreamId, value: bytes) -> Upstream | None:
+        """Return the upstream in an entry, or None where it names none to use."""
+        try:
+            entry = msgspec.json.decode(value, type=_ServerEntry)
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            return None
+        if entry.state not in _STATES or not _is_address(entry.address):
+            return None
+        return Upstream(
+            upstream_id=upstream_id,
+            service=ServiceId(entry.service),
+            address=entry.address,
+            place=PlaceId(entry.zone),
+            n_slots=max(entry.slots, 1),
+            born_ms=entry.born,
+            is_leaving=_STATES[entry.state],
+            claimed_role=_ROLES.get(entry.db_role or ""),
+        )
+
+    def decode_table(self, value: bytes) -> RouteTable:
+        """Return the configuration in an entry."""
+        try:
+            body = msgspec.json.decode(value, type=_ConfigBody)
+            routes = [_make_route(route) for route in body.routes]
+        except (msgspec.DecodeError, KeyError) as error:
+            raise BadInput(f"op/config: {error}; write it as documented") from error
+        return RouteTable(
+            version=Generation(body.version),
+            routes={route.database: route for route in routes},
+            services={
+                ServiceId(s.name): ServiceRules(s.max_conns, s.sync_replicas)
+                for s in body.services
+            },
+            transaction_idle_s=body.limits.tx_idle_ms / 1000,
+        )
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    return bool(host) and port.isdigit()
+
+
+def _make_route(body: _RouteBody) -> Route:
+    return Route(
+        database=body.host,
+        service=ServiceId(body.service),
+        consistency=_CONSISTENCIES[body.type],
+        max_staleness_s=body.max_staleness_ms / 1000,
+        statement_timeout_s=body.timeout_ms / 1000,
+        target_s=body.target_latency_ms / 1000,
+        priority=body.priority,
+    )
--- /dev/null
+++ b/celeryfold/platform/store.py
@@ -0,0 +1,210 @@
+"""The platform's store over HTTP."""
+
+from __future__ import annotations
+
+__all__ = ["HttpCoordinationStore"]
+
+import base64
+from collections.abc import Sequence
+from typing import TypeVar
+from urllib.parse import quote
+
+import msgspec
+import trio
+
+from ..kernel.ids import LeaseId
+from ..kernel.metrics import Metrics
+from ..proxy.store import (
+    Change,
+    Changes,
+    CoordinationStore,
+    Expectation,
+    HistoryLost,
+    Item,
+    ItemWrite,
+    Lease,
+    LeaseLost,
+    Listed,
+    StoreConflict,
+    StoreRefused,
+    StoreUnavailable,
+)
+from ..wire.client import HttpClient, Unanswered, Unreachable
+from ..wire.messages import HttpResponse
+
+# The store answers within milliseconds when it is well, within 0.3 s when slow.
+CALL_TIMEOUT_S = 1.0
+JSON_HEADERS = (("Content-Type", "application/json"),)
+OK = 200
+NOT_FOUND = 404
+CONFLICT = 412
+GONE = 410
+REFUSED = (429, 503)
+
+B = TypeVar("B")
+
+
+class _ItemBody(msgspec.Struct):
+    """One item; ``created`` holds the revision of its creation, not a time."""
+
+    key: str
+    revision: int
+    value: str = ""
+    created: int = 0
+    deleted: bool = False
+
+
+class _RangeBody(msgspec.Struct):
+    items: list[_ItemBody]
+    has_more: bool
+    as_of: int
+
+
+class _EventsBody(msgspec.Struct):
+    events: list[_ItemBody]
+    as_of: int
+
+
+class _RevisionBody(msgspec.Struct):
+    revision: int
+
+
+class _LeaseBody(msgspec.Struct):
+    lease: int
+    ttl_ms: int
+
+
+class HttpCoordinationStore(CoordinationStore):
+    """Call the store; counts each call by kind."""
+
+    def __init__(self, address: str, metrics: Metrics) -> None:
+        self._client = HttpClient(address)
+        self._metrics = metrics
+
+    async def get(self, key: str) -> Item | None:
+        """Return an item, or None where the key is absent."""
+        path = f"/kv-key?key={quote(key, safe='')}"
+        response = await self._ask("get", "GET", path)
+        if response.status == NOT_FOUND:
+            return None
+        return _make_item(_decode(response, _ItemBody))
+
+    async def list_items(self, prefix: str) -> Listed:
+        """Return all items below a prefix, page by page.
+
+        Pages are not a snapshot: the revision of the first is the one to go on from.
+        """
+        items: list[Item] = []
+        as_of: int | None = None
+        path = f"/kv-range?prefix={quote(prefix, safe='')}"
+        page_path = path
+        while True:
+            response = await self._ask("range", "GET", page_path)
+            body = _decode(response, _RangeBody)
+            items += [_make_item(item) for item in body.items]
+            as_of = body.as_of if as_of is None else as_of
+            if not body.has_more or not body.items:
+                return Listed(tuple(items), as_of)
+            page_path = f"{path}&after={quote(body.items[-1].key, safe='')}"
+
+    async def watch(self, prefix: str, after: int, wait_s: float) -> Changes:
+        """Return what changed after a revision."""
+        wait_ms = int(wait_s * 1000)
+        path = f"/kv-watch?prefix={quote(prefix, safe='')}"
+        path += f"&after={after}&wait_ms={wait_ms}"
+        timeout_s = CALL_TIMEOUT_S + wait_s
+        response = await self._ask("watch", "GET", path, timeout_s=timeout_s)
+        if response.status == GONE:
+            raise HistoryLost(f"the history after {after} is gone")
+        body = _decode(response, _EventsBody)
+        return Changes(tuple(_make_change(event) for event in body.events), body.as_of)
+
+    async def commit(
+        self,
+        expected: Sequence[Expectation],
+        writes: Sequence[ItemWrite] = (),
+        deletes: Sequence[str] = (),
+    ) -> int:
+        """Write all or nothing and return the new revision."""
+        body = msgspec.json.encode(
+            {
+                "expected_rev": expected,
+                "writes": [_encode_write(write) for write in writes],
+                "deletes": deletes,
+            }
+        )
+        response = await self._ask("txn", "POST", "/kv-txn", body)
+        if response.status == CONFLICT:
+            keys = ", ".join(expectation.key for expectation in expected)
+            raise StoreConflict(f"{keys}: not at the expected revision")
+        if response.status == NOT_FOUND:
+            raise LeaseLost("the lease of a write has ended")
+        return _decode(response, _RevisionBody).revision
+
+    async def grant_lease(self, ttl_s: float) -> Lease:
+        """Start a lease."""
+        body = msgspec.json.encode({"ttl_ms": int(ttl_s * 1000)})
+        response = await self._ask("lease", "POST", "/kv-lease", body)
+        granted = _decode(response, _LeaseBody)
+        return Lease(LeaseId(granted.lease), granted.ttl_ms / 1000)
+
+    async def renew_lease(self, lease: LeaseId) -> None:
+        """Renew a lease."""
+        response = await self._ask("keep", "POST", f"/kv-keep/{lease}")
+        if response.status == NOT_FOUND:
+            raise LeaseLost(f"lease {lease} has ended")
+
+    async def end_lease(self, lease: LeaseId) -> None:
+        """End a lease and remove its keys."""
+        await self._ask("lease_end", "DELETE", f"/kv-lease-end/{lease}")
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._client.close()
+
+    async def _ask(
+        self,
+        kind: str,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> HttpResponse:
+        self._metrics.count(f"store.{kind}")
+        headers = JSON_HEADERS if body else ()
+        try:
+            with trio.fail_after(timeout_s):
+                response = await self._client.request(method, path, body, headers)
+        except Unreachable as error:
+            raise StoreRefused(str(error)) from error
+        except (Unanswered, trio.TooSlowError) as error:
+            self._metrics.count("store.unanswered")
+            raise StoreUnavailable(f"no answer to {kind}: {error}") from error
+        if response.status in REFUSED:
+            self._metrics.count("store.refused")
+            raise StoreRefused(f"{kind} refused with {response.status}")
+        if response.status not in (OK, NOT_FOUND, CONFLICT, GONE):
+            raise StoreUnavailable(f"{kind} answered with {response.status}")
+        return response
+
+
+def _decode(response: HttpResponse, body_type: type[B]) -> B:
+    try:
+        return msgspec.json.decode(response.body, type=body_type)
+    except msgspec.DecodeError as error:
+        raise StoreUnavailable(f"unreadable answer: {error}") from error
+
+
+def _make_item(body: _ItemBody) -> Item:
+    value = base64.b64decode(body.value)
+    return Item(body.key, value, body.revision, body.created)
+
+
+def _make_change(body: _ItemBody) -> Change:
+    item = None if body.deleted else _make_item(body)
+    return Change(body.key, body.revision, item)
+
+
+def _encode_write(write: ItemWrite) -> dict[str, str | int]:
+    value = base64.b64encode(write.value).decode("ascii")
+    return {"key": write.key, "value": value, "lease": write.lease or 0}
--- /dev/null
+++ b/celeryfold/platform/words.py
@@ -0,0 +1,215 @@
+"""The words of the session protocol and what they are in the project's types."""
+
+from __future__ import annotations
+
+__all__ = [
+    "decode_position",
+    "decode_query",
+    "decode_state",
+    "decode_status",
+    "encode_error",
+    "encode_request",
+    "encode_state",
+    "find_error_kind",
+]
+
+from ..exceptions import BadInput
+from ..kernel.errors import ErrorKind
+from ..kernel.ids import Position, Term
+from ..proxy.positions import LogPosition
+from ..proxy.statements import (
+    Access,
+    Begin,
+    Commit,
+    Deallocate,
+    Demote,
+    Execute,
+    Pause,
+    Prepare,
+    Read,
+    ReadStatus,
+    Request,
+    Reset,
+    Resume,
+    Rollback,
+    SetValue,
+    Statement,
+    Write,
+)
+from ..proxy.upstream import (
+    TransactionState,
+    UpstreamError,
+    UpstreamRole,
+    UpstreamStatus,
+)
+
+_STATES = {
+    "I": TransactionState.IDLE,
+    "T": TransactionState.OPEN,
+    "E": TransactionState.FAILED,
+}
+_STATE_WORDS = {state: word for word, state in _STATES.items()}
+
+_ERRORS = {
+    "BUSY": ErrorKind.OVERLOADED,
+    "LAGGING": ErrorKind.NOT_CAUGHT_UP,
+    "READONLY": ErrorKind.READ_ONLY,
+    # An instance of a database, not of this system.
+    "WRONGNODE": ErrorKind.WRONG_INSTANCE,
+    "TOOMANYCON": ErrorKind.TOO_MANY_CONNECTIONS,
+    "FAILED": ErrorKind.STATEMENT_FAILED,
+    "NOSTMT": ErrorKind.UNKNOWN_STATEMENT,
+    "TIMEOUT": ErrorKind.TIMED_OUT,
+    "AUTHFAIL": ErrorKind.NOT_AUTHENTICATED,
+    "NODB": ErrorKind.UNKNOWN_SERVICE,
+    "TOOBIG": ErrorKind.BODY_TOO_LARGE,
+    "MALFORMED": ErrorKind.BAD_REQUEST,
+    "ABORTED": ErrorKind.TRANSACTION_LOST,
+    "INDOUBT": ErrorKind.OUTCOME_UNKNOWN,
+}
+
+# Kinds that have no word of their own say "nothing is kept" with BUSY, or else INDOUBT.
+_ERROR_WORDS = {
+    **{kind: word for word, kind in _ERRORS.items()},
+    ErrorKind.NOT_RUN: "BUSY",
+    ErrorKind.NO_PRIMARY: "BUSY",
+    ErrorKind.TOO_STALE: "LAGGING",
+    ErrorKind.SHUTTING_DOWN: "BUSY",
+    ErrorKind.INTERNAL: "INDOUBT",
+}
+
+_ACCESS = {"READ": Access.READ, "WRITE": Access.WRITE}
+_ACCESS_WORDS = {access: word for word, access in _ACCESS.items()}
+_ROLES = {"primary": UpstreamRole.PRIMARY, "replica": UpstreamRole.REPLICA}
+
+_PLAIN: dict[str, Statement] = {
+    "BEGIN": Begin(),
+    "BEGIN READ": Begin(read_only=True),
+    "COMMIT": Commit(),
+    "ROLLBACK": Rollback(),
+}
+
+
+def find_error_kind(word: str) -> ErrorKind:
+    """Return the kind of an error word; unknown ones promise nothing."""
+    return _ERRORS.get(word, ErrorKind.OUTCOME_UNKNOWN)
+
+
+def encode_error(error: UpstreamError) -> str:
+    """Return the line of an error."""
+    word = _ERROR_WORDS.get(error.kind, "INDOUBT")
+    text = " ".join(error.text.split()) or "-"
+    return f"ERROR {word} {text}"
+
+
+def encode_state(state: TransactionState) -> str:
+    """Return the letter of a transaction state."""
+    return _STATE_WORDS[state]
+
+
+def decode_state(word: str) -> TransactionState:
+    """Return the transaction state of a letter.
+
+    :raises KeyError: where there is none such.
+    """
+    return _STATES[word]
+
+
+def decode_position(word: str) -> LogPosition | None:
+    """Return the position in a text such as ``3.1207``, or None for ``-``.
+
+    :raises ValueError: where the text is neither.
+    """
+    if word == "-":
+        return None
+    term, _, number = word.partition(".")
+    return LogPosition(Term(int(term)), Position(int(number)))
+
+
+def decode_status(row: str) -> UpstreamStatus:
+    """Return the status in a row: role, term, received, held term and loads.
+
+    :raises ValueError: where a field is missing or of another type.
+    :raises KeyError: where the role is unknown.
+    """
+    role, term, received, held, *_ = row.split(" ")
+    position = decode_position(received) or LogPosition(Term(0), Position(0))
+    return UpstreamStatus(_ROLES[role], Term(int(term)), position, Term(int(held)))
+
+
+def decode_query(text: str) -> Statement:
+    """Return the statement in a client's query.
+
+    :raises BadInput: where there is none that a client may send.
+    """
+    if any(ord(character) < 32 for character in text):
+        raise BadInput("the statement holds control characters; send it without")
+    plain = _PLAIN.get(text)
+    if plain is not None:
+        return plain
+    verb, _, rest = text.partition(" ")
+    if verb == "READ" and rest:
+        return Read(rest)
+    if verb == "WRITE" and " " in rest:
+        return Write(rest)
+    if verb == "SET":
+        name, _, value = rest.partition(" ")
+        if name and value:
+            return SetValue(name, value)
+    if verb == "PREPARE":
+        return _decode_prepare(rest)
+    if verb == "EXECUTE":
+        name, _, arguments = rest.partition(" ")
+        if name and arguments:
+            return Execute(name, arguments)
+    if verb == "DEALLOC" and rest:
+        return Deallocate(rest)
+    raise BadInput(f"no statement starts with '{text[:40]}'; see the protocol")
+
+
+def _decode_prepare(rest: str) -> Prepare:
+    name, _, definition = rest.partition(" ")
+    word, _, shape = definition.partition(" ")
+    if not name or word not in _ACCESS or not shape:
+        raise BadInput("PREPARE needs a name, READ or WRITE, and a shape")
+    return Prepare(name, _ACCESS[word], shape)
+
+
+def encode_request(request: Request) -> str:
+    """Return the line of a request to an upstream."""
+    text = _encode_statement(request.statement)
+    if request.since is not None:
+        text = f"SINCE {request.since} {text}"
+    return f"QUERY {request.request_id or '-'} {text}"
+
+
+def _encode_statement(statement: Statement) -> str:
+    match statement:
+        case Begin(read_only):
+            return "BEGIN READ" if read_only else "BEGIN"
+        case Commit():
+            return "COMMIT"
+        case Rollback():
+            return "ROLLBACK"
+        case Read(arguments):
+            return f"READ {arguments}"
+        case Write(arguments):
+            return f"WRITE {arguments}"
+        case SetValue(name, value):
+            return f"SET {name} {value}"
+        case Prepare(name, access, shape):
+            return f"PREPARE {name} {_ACCESS_WORDS[access]} {shape}"
+        case Execute(name, arguments):
+            return f"EXECUTE {name} {arguments}"
+        case Deallocate(name):
+            return f"DEALLOC {name}"
+        case Reset():
+            return "RESET"
+        case ReadStatus():
+            return "STATUS"
+        case Pause(term):
+            return f"PAUSE {term}"
+        case Resume():
+            return "RESUME"
+        case Demote(term):
+            return f"DEMOTE {term}"
--- /dev/null
+++ b/celeryfold/proxy/door.py
@@ -0,0 +1,324 @@
+"""Serve clients' sessions, one task a connection."""
+
+from __future__ import annotations
+
+__all__ = [
+    "ClientChannel",
+    "ClientGone",
+    "ClientMessage",
+    "MalformedMessage",
+    "Query",
+    "SessionDoor",
+    "StartSession",
+    "Terminate",
+]
+
+import logging
+import math
+from abc import ABC, abstractmethod
+from collections.abc import Awaitable, Callable
+
+import msgspec
+import trio
+
+from ..exceptions import BadInput, CeleryfoldError
+from ..kernel.errors import ErrorKind
+from ..kernel.ids import RequestId
+from ..kernel.metrics import Metrics
+from .calls import Answer
+from .clock import Clock
+from .session import Session, SessionPorts
+from .statements import Statement
+from .upstream import TransactionState, UpstreamError
+
+log = logging.getLogger(__name__)
+
+LISTEN_BACKLOG = 1024
+# Clients give up on a session that is not ready within 2 s.
+FIRST_CONFIGURATION_S = 1.5
+START_TIMEOUT_S = 10.0
+# A client that does not read blocks its own session only, and not for ever.
+SEND_TIMEOUT_S = 10.0
+# Transactions that rest are looked at this often.
+REST_CHECK_S = 0.5
+# The balancer asks once a second and takes two misses; new clients come until then.
+OUT_OF_ROTATION_S = 2.4
+# What is left of the grace period to close everything and end the process.
+EXIT_MARGIN_S = 0.5
+
+
+class StartSession(msgspec.Struct, frozen=True):
+    """Open a session with a database."""
+
+    database: str
+
+
+class Query(msgspec.Struct, frozen=True):
+    """Run a statement."""
+
+    request_id: RequestId
+    statement: Statement
+
+
+class Terminate(msgspec.Struct, frozen=True):
+    """End the session."""
+
+
+class MalformedMessage(msgspec.Struct, frozen=True):
+    """Stand for a message that cannot be run.
+
+    :param is_fatal: whether what follows cannot be told apart any more.
+    """
+
+    kind: ErrorKind
+    text: str
+    is_fatal: bool = False
+
+
+ClientMessage = StartSession | Query | Terminate | MalformedMessage
+
+
+class ClientGone(CeleryfoldError):
+    """The client's connection ended or broke."""
+
+
+class ClientChannel(ABC):
+    """Exchange typed messages with one client."""
+
+    @abstractmethod
+    async def receive(self) -> ClientMessage:
+        """Return the next message; safe to cancel.
+
+        :raises ClientGone: where none will come.
+        """
+
+    @abstractmethod
+    async def accept(self) -> None:
+        """Tell the client that its session is open.
+
+        :raises ClientGone: where it cannot be told.
+        """
+
+    @abstractmethod
+    async def reject(self, error: UpstreamError) -> None:
+        """Tell the client that there is no session.
+
+        :raises ClientGone: where it cannot be told.
+        """
+
+    @abstractmethod
+    async def answer(self, answer: Answer) -> None:
+        """Answer the message received last.
+
+        :raises ClientGone: where it cannot be told.
+        """
+
+    @abstractmethod
+    async def close(self) -> None:
+        """Close the connection."""
+
+
+class _Served:
+    """Hold one session's task.
+
+    :param resting: cancels the wait for the next message; None while one is run.
+    """
+
+    def __init__(self) -> None:
+        self.resting: trio.CancelScope | None = None
+        self.session: Session | None = None
+
+    @property
+    def state(self) -> TransactionState:
+        return self.session.state if self.session else TransactionState.IDLE
+
+
+class SessionDoor:
+    """Listen for clients and run their sessions.
+
+    :param make_channel: wraps a connection.
+    :param wait_routes: returns once there is a configuration.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        make_channel: Callable[[trio.SocketStream], ClientChannel],
+        wait_routes: Callable[[], Awaitable[None]],
+        ports: SessionPorts,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self.host = host
+        self.port = port
+        self._make_channel = make_channel
+        self._wait_routes = wait_routes
+        self._ports = ports
+        self._clock = clock
+        self._metrics = metrics
+        self._served: set[_Served] = set()
+        self._accepting = trio.CancelScope()
+        self._listeners: list[trio.SocketListener] = []
+        self.is_closing_idle = False
+        self.is_closing_all = False
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Open the port and serve until stopped.
+
+        :raises BadInput: where the port cannot be opened.
+        """
+        try:
+            self._listeners = await trio.open_tcp_listeners(
+                self.port, host=self.host, backlog=LISTEN_BACKLOG
+            )
+        except OSError as error:
+            text = f"cannot listen on {self.host}:{self.port}: {error.strerror}"
+            raise BadInput(f"{text}; free the port or set another") from error
+        self.port = self._listeners[0].socket.getsockname()[1]
+        nursery.start_soon(self._accept, nursery)
+
+    async def _accept(self, nursery: trio.Nursery) -> None:
+        with self._accepting:
+            await trio.serve_listeners(
+                self._serve, self._listeners, handler_nursery=nursery
+            )
+
+    @property
+    def n_busy(self) -> int:
+        """Sessions that run a statement."""
+        return sum(served.resting is None for served in self._served)
+
+    @property
+    def n_sessions(self) -> int:
+        """Sessions that are open."""
+        return len(self._served)
+
+    async def stop(self, grace_s: float) -> None:
+        """End all sessions without cutting a statement that runs.
+
+        New clients are served until the balancer has noticed; then resting sessions
+        end, and transactions after half of the grace period.
+        """
+        started_at = trio.current_time()
+        await trio.sleep(min(OUT_OF_ROTATION_S, grace_s / 2))
+        self._accepting.cancel()
+        for listener in self._listeners:
+            await listener.aclose()
+        self.is_closing_idle = True
+        self._wake_resting()
+        await trio.sleep_until(started_at + grace_s / 2)
+        self.is_closing_all = True
+        self._wake_resting()
+        with trio.move_on_at(started_at + grace_s - EXIT_MARGIN_S):
+            while self._served:
+                await trio.sleep(0.02)
+        if self._served:
+            log.warning("sessions cut at the end", extra={"n": len(self._served)})
+
+    def _wake_resting(self) -> None:
+        for served in self._served:
+            if served.resting is not None and self._must_end(served):
+                served.resting.cancel()
+
+    def _must_end(self, served: _Served) -> bool:
+        if self.is_closing_all:
+            return True
+        return self.is_closing_idle and served.state is TransactionState.IDLE
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        channel = self._make_channel(stream)
+        served = _Served()
+        served.resting = trio.CancelScope()
+        self._served.add(served)
+        self._metrics.count("session.opened")
+        try:
+            await self._run_session(channel, served)
+        except ClientGone:
+            self._metrics.count("session.client_gone")
+        except Exception:
+            log.exception("session failed")
+            self._metrics.count("session.failed")
+        finally:
+            self._served.discard(served)
+            if served.session is not None:
+                served.session.close()
+            with trio.CancelScope(shield=True):
+                await channel.close()
+
+    async def _run_session(self, channel: ClientChannel, served: _Served) -> None:
+        with trio.move_on_after(START_TIMEOUT_S):
+            session = await self._open_session(channel)
+            served.session = session
+        if served.session is None:
+            return
+        while True:
+            message = await self._wait_message(channel, served, served.session)
+            if message is None or isinstance(message, Terminate):
+                return
+            served.resting = None
+            answer = await self._run(served.session, message)
+            with trio.fail_after(SEND_TIMEOUT_S):
+                await channel.answer(answer)
+            if isinstance(message, MalformedMessage) and message.is_fatal:
+                return
+
+    async def _open_session(self, channel: ClientChannel) -> Session | None:
+        message = await channel.receive()
+        if isinstance(message, Terminate):
+            return None
+        if not isinstance(message, StartSession):
+            await channel.reject(_describe_bad_start(message))
+            return None
+        with trio.move_on_after(FIRST_CONFIGURATION_S) as waiting:
+            await self._wait_routes()
+        if waiting.cancelled_caught:
+            text = "there is no configuration yet; come back in a second"
+            await channel.reject(UpstreamError(ErrorKind.OVERLOADED, text))
+            return None
+        if self._ports.find_route(message.database) is None:
+            self._metrics.count("session.unknown_database")
+            text = f"no database is named '{message.database}'"
+            await channel.reject(UpstreamError(ErrorKind.UNKNOWN_SERVICE, text))
+            return None
+        await channel.accept()
+        return Session(message.database, self._ports)
+
+    async def _wait_message(
+        self, channel: ClientChannel, served: _Served, session: Session
+    ) -> ClientMessage | None:
+        """Return the next message, or None where the session shall end."""
+        while not self._must_end(served):
+            is_open = session.state is TransactionState.OPEN
+            check_s = REST_CHECK_S if is_open else math.inf
+            with trio.move_on_after(check_s) as served.resting:
+                return await channel.receive()
+            session.expire_idle()
+        return None
+
+    async def _run(self, session: Session, message: ClientMessage) -> Answer:
+        if isinstance(message, Query):
+            started_at = self._clock()
+            answer = await session.run(message.request_id, message.statement)
+            self._note_answer(answer, self._clock() - started_at)
+            return answer
+        if isinstance(message, MalformedMessage):
+            self._metrics.count("session.malformed")
+            error = UpstreamError(message.kind, message.text)
+            return Answer(session.state, error=error)
+        error = UpstreamError(ErrorKind.BAD_REQUEST, "the session is open already")
+        return Answer(session.state, error=error)
+
+    def _note_answer(self, answer: Answer, seconds: float) -> None:
+        self._metrics.time("statement.duration", seconds)
+        if answer.error is None:
+            self._metrics.count("statement.succeeded")
+        else:
+            self._metrics.count(f"statement.answered.{answer.error.kind.value}")
+
+
+def _describe_bad_start(message: ClientMessage) -> UpstreamError:
+    if isinstance(message, MalformedMessage):
+        return UpstreamError(message.kind, message.text)
+    text = "a session starts by naming its database"
+    return UpstreamError(ErrorKind.BAD_REQUEST, text)
--- /dev/null
+++ b/celeryfold/proxy/exchanges.py
@@ -0,0 +1,64 @@
+"""Send requests on a lent connection and collect the replies in time."""
+
+from __future__ import annotations
+
+__all__ = ["ExchangeFailed", "exchange"]
+
+from collections.abc import Sequence
+
+import trio
+
+from ..exceptions import CeleryfoldError
+from .answers import Ending
+from .pool import Pool, PooledConnection, Recycled
+from .statements import Request
+from .upstream import ConnectionLost, Reply
+
+
+class ExchangeFailed(CeleryfoldError):
+    """Not every reply came; the connection is closed.
+
+    :param replies: those that came, of the first requests.
+    """
+
+    def __init__(self, ending: Ending, replies: list[Reply], text: str) -> None:
+        super().__init__(text)
+        self.ending = ending
+        self.replies = replies
+
+
+async def exchange(
+    pool: Pool,
+    pooled: PooledConnection,
+    requests: Sequence[Request],
+    timeout_s: float,
+) -> list[Reply]:
+    """Send requests in one piece and return their replies.
+
+    :param timeout_s: how long all replies may take.
+    :raises ExchangeFailed: the connection is given back to the pool as broken.
+    """
+    replies: list[Reply] = []
+    answered_at = pool.answered_at
+    try:
+        with trio.fail_after(max(timeout_s, 0.0)):
+            await pooled.connection.send(requests)
+            while len(replies) < len(requests):
+                reply = await pooled.connection.receive()
+                pool.note_reply(pooled, reply)
+                replies.append(reply)
+    except ConnectionLost as error:
+        pool.release(pooled, Recycled.BROKEN)
+        raise ExchangeFailed(Ending.LOST, replies, str(error)) from error
+    except trio.TooSlowError as error:
+        pool.release(pooled, Recycled.BROKEN)
+        if pool.answered_at == answered_at:
+            pool.note_silence()
+        text = (
+            f"{pool.upstream.upstream_id} did not answer in {timeout_s * 1000:.0f} ms"
+        )
+        raise ExchangeFailed(Ending.TIMED_OUT, replies, text) from error
+    except BaseException:
+        pool.release(pooled, Recycled.BROKEN)
+        raise
+    return replies
--- /dev/null
+++ b/celeryfold/proxy/instance.py
@@ -0,0 +1,241 @@
+"""An instance of the proxy: all parts put together."""
+
+from __future__ import annotations
+
+__all__ = ["Platform", "ProxyInstance", "ProxySettings"]
+
+import logging
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+import msgspec
+import trio
+
+from ..kernel.ids import InstanceId, PlaceId, RegionId, ServiceId
+from ..kernel.metrics import Metrics
+from ..links.link import PeerLink
+from .clock import Clock
+from .directory import Directory
+from .door import ClientChannel, SessionDoor
+from .guardian import Guardian, GuardianPorts, Promotions
+from .leases import Duty, LeaseKeeper
+from .messages import Peer
+from .peers import PeerBook, PeerNews
+from .pools import PoolBook
+from .reads import ReadRunner
+from .routes import DEFAULT_TRANSACTION_IDLE_S, Route, Routes
+from .routing import Router
+from .runner import Runner
+from .sampler import Sampler
+from .samples import SampleBook
+from .session import SessionPorts
+from .store import CoordinationStore
+from .transactions import TransactionRunner
+from .upstream import Connector, Upstream
+from .watcher import EntryDecoder, StoreWatcher
+from .writes import WriteRunner
+
+log = logging.getLogger(__name__)
+
+KEY_PREFIX = "celeryfold/"
+HOUSEKEEPING_S = 0.5
+
+
+@dataclass(frozen=True)
+class ProxySettings:
+    """Hold what an instance is told at its start.
+
+    :param client_host: where clients connect.
+    :param peer_address: where other instances connect.
+    :param grace_s: time between the order to stop and the end of the process, seconds.
+    :param is_first_start: whether the whole system starts for the first time.
+    """
+
+    instance_id: InstanceId
+    place: PlaceId
+    regions: Mapping[PlaceId, RegionId]
+    client_host: str
+    client_port: int
+    peer_address: str
+    seeds: tuple[str, ...]
+    grace_s: float
+    is_first_start: bool
+
+
+@dataclass(frozen=True)
+class Platform:
+    """Bundle the drivers of all that is outside."""
+
+    store: CoordinationStore
+    decoder: EntryDecoder
+    connector: Connector
+    promotions: Promotions
+    make_channel: Callable[[trio.SocketStream], ClientChannel]
+
+
+class ProxyInstance(SessionPorts):
+    """Serve sessions, watch the store, hear peers and guard services."""
+
+    def __init__(
+        self,
+        settings: ProxySettings,
+        platform: Platform,
+        link: PeerLink,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.metrics = metrics
+        self._platform = platform
+        self.link = link
+        self.routes = Routes()
+        self.directory = Directory(clock)
+        self.samples = SampleBook(clock)
+        me = Peer(settings.instance_id, settings.peer_address, settings.place)
+        self.peers = PeerBook(me, settings.seeds, clock)
+        self.pools = PoolBook(
+            platform.connector,
+            self.directory,
+            self.routes,
+            clock,
+            metrics,
+            self._find_share,
+        )
+        self.router = Router(
+            settings.place,
+            settings.regions,
+            self.directory,
+            self.pools,
+            self.samples,
+            clock,
+        )
+        parts = (self.router, self.directory, self.samples, clock, metrics)
+        self.reads = ReadRunner(*parts)
+        self.writes = WriteRunner(*parts)
+        self.transactions = TransactionRunner(*parts)
+        self.watcher = StoreWatcher(
+            platform.store, platform.decoder, self.routes, self.directory, metrics
+        )
+        self.news = PeerNews(
+            self.peers,
+            link,
+            self.routes,
+            self.directory,
+            self.samples,
+            platform.decoder.decode_table,
+            clock,
+            metrics,
+        )
+        self.sampler = Sampler(
+            Runner(*parts), self.routes, self.directory, self.pools, clock, metrics
+        )
+        self.keeper = LeaseKeeper(platform.store, clock)
+        self.door = SessionDoor(
+            settings.client_host,
+            settings.client_port,
+            platform.make_channel,
+            self.routes.wait_any,
+            self,
+            clock,
+            metrics,
+        )
+        self._guarded: set[ServiceId] = set()
+        self._guarding = trio.CancelScope()
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Take up all work."""
+        await self.pools.start(nursery)
+        nursery.start_soon(self.watcher.run, KEY_PREFIX)
+        nursery.start_soon(self.news.run)
+        nursery.start_soon(self.sampler.run)
+        nursery.start_soon(self.keeper.run)
+        nursery.start_soon(self._guard)
+        nursery.start_soon(self._keep_house)
+        await self.door.start(nursery)
+
+    async def stop(self) -> None:
+        """Hand over what is held here and end all sessions."""
+        self.peers.me = msgspec.structs.replace(self.peers.me, is_leaving=True)
+        self._guarding.cancel()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.keeper.end)
+            await self.door.stop(self.settings.grace_s)
+            nursery.cancel_scope.cancel()
+
+    async def close(self) -> None:
+        """Release everything."""
+        await self._platform.store.close()
+        await self.link.close()
+
+    @property
+    def is_leaving(self) -> bool:
+        """Tell whether the instance is being stopped."""
+        return self.peers.me.is_leaving
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether new clients would be served here."""
+        if self.is_leaving or self.routes.table is None:
+            return False
+        services = self.routes.table.list_services()
+        return not services or any(
+            self.directory.list_service(service) for service in services
+        )
+
+    def find_route(self, database: str) -> Route | None:
+        """Return the route in force for a database name."""
+        return self.routes.find(database)
+
+    @property
+    def transaction_idle_s(self) -> float:
+        """How long a transaction may rest before it is undone, in seconds."""
+        table = self.routes.table
+        return table.transaction_idle_s if table else DEFAULT_TRANSACTION_IDLE_S
+
+    def _find_share(self, upstream: Upstream) -> tuple[int, int]:
+        """Return among how many instances connections are divided, and our rank."""
+        return len(self.peers.list_alive()) + 1, self.peers.rank()
+
+    async def _keep_house(self) -> None:
+        while True:
+            await trio.sleep(HOUSEKEEPING_S)
+            self.directory.expire()
+            self.pools.update()
+
+    async def _guard(self) -> None:
+        """Run a guardian for each service that a route leads to."""
+        with self._guarding:
+            async with trio.open_nursery() as nursery:
+                while True:
+                    table = self.routes.table
+                    for service in table.list_services() if table else []:
+                        if service not in self._guarded:
+                            self._guarded.add(service)
+                            nursery.start_soon(self._make_guardian(service).run)
+                    await self.routes.wait_change()
+
+    def _make_guardian(self, service: ServiceId) -> Guardian:
+        settings = self.settings
+        ports = GuardianPorts(
+            me=settings.instance_id,
+            is_first_start=settings.is_first_start,
+            store=self._platform.store,
+            watcher=self.watcher,
+            routes=self.routes,
+            directory=self.directory,
+            samples=self.samples,
+            peers=self.peers,
+            connector=self._platform.connector,
+            promotions=self._platform.promotions,
+            clock=self.clock,
+            metrics=self.metrics,
+        )
+        duty = Duty(
+            f"{KEY_PREFIX}duties/{service}",
+            settings.instance_id,
+            self._platform.store,
+            self.keeper,
+            self.clock,
+        )
+        return Guardian(service, duty, f"{KEY_PREFIX}members/{service}", ports)
--- /dev/null
+++ b/celeryfold/proxy/leases.py
@@ -0,0 +1,192 @@
+"""The lease that this instance's duties are bound to, and the duties themselves."""
+
+from __future__ import annotations
+
+__all__ = ["Duty", "DutyLost", "LeaseKeeper"]
+
+import logging
+import math
+import secrets
+
+import trio
+
+from ..exceptions import CeleryfoldError
+from ..kernel.ids import InstanceId, LeaseId
+from .clock import Clock
+from .store import (
+    CoordinationStore,
+    Expectation,
+    Item,
+    ItemWrite,
+    LeaseLost,
+    StoreConflict,
+    StoreUnavailable,
+)
+
+log = logging.getLogger(__name__)
+
+# A dead holder is replaced after this; renewals come three times as often, so that one
+# lost answer does not end it.
+LEASE_S = 2.4
+RENEW_INTERVAL_S = 0.8
+
+
+class DutyLost(CeleryfoldError):
+    """This instance does not hold the duty, or not any more."""
+
+
+class LeaseKeeper:
+    """Keep one lease while any duty is held."""
+
+    def __init__(self, store: CoordinationStore, clock: Clock) -> None:
+        self._store = store
+        self._clock = clock
+        self._lease_id: LeaseId | None = None
+        self._until = -math.inf
+        self.n_duties = 0
+
+    @property
+    def runs(self) -> bool:
+        """Tell whether the lease runs for certain."""
+        return self._lease_id is not None and self._clock() < self._until
+
+    async def obtain(self) -> LeaseId:
+        """Return a lease that runs.
+
+        :raises StoreUnavailable: where none can be had.
+        """
+        if self.runs:
+            assert self._lease_id is not None
+            return self._lease_id
+        asked_at = self._clock()
+        lease = await self._store.grant_lease(LEASE_S)
+        self._lease_id = lease.lease_id
+        self._until = asked_at + lease.ttl_s
+        return lease.lease_id
+
+    async def run(self) -> None:
+        """Renew the lease while it is needed, until cancelled."""
+        while True:
+            await trio.sleep(RENEW_INTERVAL_S)
+            if self._lease_id is not None and self.n_duties:
+                await self._renew(self._lease_id)
+
+    async def _renew(self, lease_id: LeaseId) -> None:
+        """Renew; the lease is dated from before the call was sent."""
+        asked_at = self._clock()
+        try:
+            await self._store.renew_lease(lease_id)
+        except LeaseLost:
+            log.warning("lease lost", extra={"lease": lease_id})
+            self._lease_id = None
+        except StoreUnavailable as error:
+            extra = {"lease": lease_id, "reason": str(error)}
+            log.warning("lease not renewed", extra=extra)
+        else:
+            self._until = asked_at + LEASE_S
+
+    async def end(self) -> None:
+        """Give all duties up at once, so that others need not wait for the lease."""
+        if self._lease_id is None:
+            return
+        lease_id, self._lease_id = self._lease_id, None
+        try:
+            await self._store.end_lease(lease_id)
+        except StoreUnavailable as error:
+            log.warning("lease not ended", extra={"reason": str(error)})
+
+
+class Duty:
+    """Hold a duty through a key in the store bound to the lease.
+
+    The revision that created the key is the fencing token: it only rises.
+    """
+
+    def __init__(
+        self,
+        key: str,
+        holder: InstanceId,
+        store: CoordinationStore,
+        keeper: LeaseKeeper,
+        clock: Clock,
+    ) -> None:
+        self.key = key
+        self.holder = holder
+        self.taken_at = -math.inf
+        self._store = store
+        self._keeper = keeper
+        self._clock = clock
+        self._token = 0
+        self._written: set[bytes] = set()
+
+    @property
+    def is_held(self) -> bool:
+        """Tell whether the duty is held for certain."""
+        return self._token > 0 and self._keeper.runs
+
+    def use_token(self) -> int:
+        """Return the fencing token.
+
+        :raises DutyLost: where the duty may have passed to another holder.
+        """
+        if not self.is_held:
+            raise DutyLost(f"the lease of {self.key} has run out")
+        return self._token
+
+    async def take(self) -> None:
+        """Create the key where it is absent.
+
+        :raises DutyLost: where another instance holds the duty.
+        :raises StoreUnavailable: where the store gives no answer; the key may exist or
+            come to exist, and is then found by :meth:`recognize`.
+        """
+        lease = await self._keeper.obtain()
+        value = f"{self.holder} {secrets.token_hex(8)}".encode()
+        self._written.add(value)
+        write = ItemWrite(self.key, value, lease)
+        try:
+            token = await self._store.commit([Expectation(self.key, 0)], [write])
+        except StoreConflict as error:
+            raise DutyLost(f"{self.key} is held") from error
+        except LeaseLost as error:
+            raise DutyLost("the lease has ended") from error
+        self._hold(token)
+
+    def recognize(self, item: Item) -> bool:
+        """Hold the duty where a key that we wrote is there after a lost answer."""
+        if item.value not in self._written or not self._keeper.runs:
+            return False
+        if not self.is_held:
+            self._hold(item.created)
+        return True
+
+    def _hold(self, token: int) -> None:
+        self._token = token
+        self.taken_at = self._clock()
+        self._keeper.n_duties += 1
+        extra = {"key": self.key, "token": token, "holder": self.holder}
+        log.info("duty taken", extra=extra)
+
+    def drop(self, reason: str) -> None:
+        """Act no more under the present token."""
+        if self._token:
+            extra = {"key": self.key, "token": self._token, "reason": reason}
+            log.info("duty dropped", extra=extra)
+            self._keeper.n_duties -= 1
+        self._token = 0
+
+    async def renew_token(self) -> None:
+        """Take a newer token, so that calls sent under the old one are refused.
+
+        :raises DutyLost: where the duty was lost meanwhile.
+        :raises StoreUnavailable: where the store gives no answer; the duty is dropped.
+        """
+        token = self.use_token()
+        self._written.clear()
+        self.drop("a newer token is needed")
+        expected = [Expectation(self.key, token)]
+        try:
+            await self._store.commit(expected, deletes=[self.key])
+        except StoreConflict as error:
+            raise DutyLost(f"{self.key} has changed") from error
+        await self.take()
--- /dev/null
+++ b/celeryfold/proxy/pool.py
@@ -0,0 +1,386 @@
+"""A pool of the scarce connections to one upstream."""
+
+from __future__ import annotations
+
+__all__ = ["Pool", "PooledConnection", "Recycled"]
+
+import itertools
+import logging
+import math
+from enum import Enum
+from heapq import heappop, heappush
+
+import trio
+
+from ..exceptions import RequestFailure
+from ..kernel.errors import ErrorKind
+from ..kernel.metrics import Metrics
+from .clock import Clock
+from .positions import LogPosition
+from .statements import (
+    OWN_REQUEST,
+    Prepare,
+    Request,
+    Reset,
+    Rollback,
+    SetValue,
+)
+from .upstream import (
+    ConnectFailed,
+    ConnectFailure,
+    ConnectionLost,
+    Connector,
+    Reply,
+    TransactionState,
+    Upstream,
+    UpstreamConnection,
+)
+
+log = logging.getLogger(__name__)
+
+# A full upstream frees connections when others close theirs, seldom within less.
+TOO_MANY_PAUSE_S = 0.25
+# Pauses between tries to reach an upstream that does not answer.
+FIRST_RETRY_S = 0.15
+LONGEST_RETRY_S = 1.0
+# Opening takes a place at the upstream; more at once would hold up statements.
+N_OPENING_AT_ONCE = 2
+# The running mean of durations: about the last ten count; unused ones are forgotten.
+DURATION_WEIGHT = 0.1
+DURATION_KEPT_S = 3.0
+FIRST_DURATION_S = 0.010
+# An upstream answers an undo at once or not at all.
+ROLLBACK_TIMEOUT_S = 1.0
+
+
+class Recycled(Enum):
+    """Tell in which state a connection is given back."""
+
+    CLEAN = "clean"
+    IN_TRANSACTION = "in_transaction"
+    BROKEN = "broken"
+
+
+class PooledConnection:
+    """Hold a connection with what is known of its state at the upstream."""
+
+    def __init__(self, connection: UpstreamConnection, now: float) -> None:
+        self.connection = connection
+        self.values: dict[str, str] = {}
+        self.prepared: set[str] = set()
+        self.answered_at = now
+
+    def make_prelude(
+        self, values: dict[str, str], needed: Prepare | None
+    ) -> list[Request]:
+        """Return what puts the connection into a session's state.
+
+        :param values: the session's values.
+        :param needed: the prepared statement that is about to run.
+        """
+        requests = []
+        if not self.values.items() <= values.items():
+            requests.append(Request(Reset(), OWN_REQUEST))
+            self.values = {}
+            self.prepared = set()
+        for name, value in values.items():
+            if self.values.get(name) != value:
+                requests.append(Request(SetValue(name, value), OWN_REQUEST))
+        self.values = dict(values)
+        if needed is not None and needed.name not in self.prepared:
+            requests.append(Request(needed, OWN_REQUEST))
+            self.prepared.add(needed.name)
+        return requests
+
+
+class _Waiter:
+    def __init__(self) -> None:
+        self.done = trio.Event()
+        self.connection: PooledConnection | None = None
+        self.failure: RequestFailure | None = None
+
+
+class Pool:
+    """Lend connections to one upstream, a limited number of them.
+
+    :param limit: connections that this instance may hold.
+    """
+
+    def __init__(
+        self,
+        upstream: Upstream,
+        connector: Connector,
+        limit: int,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self.upstream = upstream
+        self.limit = limit
+        self.is_closed = False
+        self.is_unreachable = False
+        self.is_misplaced = False
+        self.position: LogPosition | None = None
+        self._connector = connector
+        self._clock = clock
+        self._metrics = metrics
+        self._idle: list[PooledConnection] = []
+        self._waiters: list[tuple[int, int, _Waiter]] = []
+        self._numbers = itertools.count()
+        self._n_open = 0
+        self._n_opening = 0
+        self._retry_at = 0.0
+        self._retry_s = FIRST_RETRY_S
+        self._is_retry_planned = False
+        self._nursery: trio.Nursery | None = None
+        self.answered_at = clock()
+        self.silent_at = -math.inf
+        self._duration_s = FIRST_DURATION_S
+        self._duration_at = -math.inf
+
+    def start(self, nursery: trio.Nursery) -> None:
+        """Take the nursery that connections are opened and undone in."""
+        self._nursery = nursery
+
+    @property
+    def n_open(self) -> int:
+        """Connections that are open."""
+        return self._n_open
+
+    @property
+    def n_busy(self) -> int:
+        """Connections that are lent."""
+        return self._n_open - len(self._idle)
+
+    @property
+    def n_waiting(self) -> int:
+        """Requests that wait for a connection."""
+        return len(self._waiters)
+
+    def may_serve(self) -> bool:
+        """Tell whether the upstream can be reached, as far as is known."""
+        if self.is_closed or self.is_misplaced:
+            return False
+        return self._n_open > 0 or not self.is_unreachable or self._may_open()
+
+    def note_duration(self, seconds: float) -> None:
+        """Take in how long the upstream took to run a statement."""
+        self._duration_s += DURATION_WEIGHT * (seconds - self._duration_s)
+        self._duration_at = self._clock()
+
+    @property
+    def service_s(self) -> float:
+        """How long a statement takes at the upstream, as measured lately."""
+        if self._clock() - self._duration_at > DURATION_KEPT_S:
+            return FIRST_DURATION_S
+        return self._duration_s
+
+    def note_reply(self, pooled: PooledConnection, reply: Reply) -> None:
+        """Take in the log position that a reply reported."""
+        pooled.answered_at = self.answered_at = self._clock()
+        position = reply.position
+        if position is None:
+            return
+        if self.position is None or position > self.position:
+            self.position = position
+
+    async def acquire(
+        self, values: dict[str, str], priority: int, wait_s: float
+    ) -> PooledConnection:
+        """Lend a connection, one that has a session's values where there is one.
+
+        :param wait_s: how long to wait for one.
+        :raises RequestFailure: where none comes free in time or none can be opened.
+        """
+        found = self._take_idle(values)
+        if found is not None:
+            return found
+        self._check_reachable()
+        waiter = _Waiter()
+        heappush(self._waiters, (priority, next(self._numbers), waiter))
+        self._open_for_waiters()
+        try:
+            with trio.move_on_after(wait_s):
+                await waiter.done.wait()
+        except trio.Cancelled:
+            self._return_unused(waiter)
+            raise
+        finally:
+            self._waiters = [entry for entry in self._waiters if entry[2] is not waiter]
+        if waiter.connection is not None:
+            return waiter.connection
+        raise waiter.failure or RequestFailure(
+            ErrorKind.OVERLOADED,
+            f"no connection to {self.upstream.upstream_id} came free within "
+            f"{wait_s * 1000:.0f} ms",
+        )
+
+    def _return_unused(self, waiter: _Waiter) -> None:
+        if waiter.connection is not None:
+            self.release(waiter.connection, Recycled.CLEAN)
+
+    def _check_reachable(self) -> None:
+        if self.is_closed:
+            raise RequestFailure(ErrorKind.NOT_RUN, "the upstream has left")
+        if self._n_open == 0 and self.is_unreachable:
+            if self._clock() < self._retry_at:
+                text = f"{self.upstream.upstream_id} cannot be reached"
+                raise RequestFailure(ErrorKind.NOT_RUN, text)
+
+    def _take_idle(self, values: dict[str, str]) -> PooledConnection | None:
+        """Return the idle connection that fits best, the last used first."""
+        self._drop_ended()
+        fitting = None
+        for pooled in reversed(self._idle):
+            if pooled.values == values:
+                fitting = pooled
+                break
+            if fitting is None and pooled.values.items() <= values.items():
+                fitting = pooled
+        if fitting is None and self._idle and not self._may_open():
+            fitting = self._idle[0]
+        if fitting is not None:
+            self._idle.remove(fitting)
+        return fitting
+
+    def _drop_ended(self) -> None:
+        ended = [p for p in self._idle if p.connection.is_broken()]
+        for pooled in ended:
+            self._idle.remove(pooled)
+            self._discard(pooled)
+
+    def _may_open(self) -> bool:
+        return (
+            not self.is_closed
+            and self._n_open + self._n_opening < self.limit
+            and self._n_opening < N_OPENING_AT_ONCE
+            and self._clock() >= self._retry_at
+        )
+
+    def _open_for_waiters(self) -> None:
+        """Open connections while more wait than are being opened."""
+        while self._n_opening < len(self._waiters) and self._may_open():
+            assert self._nursery is not None
+            self._n_opening += 1
+            self._nursery.start_soon(self._open)
+        if self._waiters and self._clock() < self._retry_at:
+            self._plan_retry()
+
+    def _plan_retry(self) -> None:
+        if not self._is_retry_planned and not self.is_closed:
+            assert self._nursery is not None
+            self._is_retry_planned = True
+            self._nursery.start_soon(self._retry)
+
+    async def _retry(self) -> None:
+        await trio.sleep(self._retry_at - self._clock())
+        self._is_retry_planned = False
+        self._open_for_waiters()
+
+    async def _open(self) -> None:
+        try:
+            connection = await self._connector.connect(self.upstream)
+        except ConnectFailed as failure:
+            self._n_opening -= 1
+            self._note_failure(failure)
+            return
+        except BaseException:
+            self._n_opening -= 1
+            raise
+        self._n_opening -= 1
+        self._n_open += 1
+        self._note_reachable()
+        self._metrics.count("upstream.connections_opened")
+        self._give(PooledConnection(connection, self._clock()))
+
+    def _note_reachable(self) -> None:
+        if self.is_unreachable:
+            log.info("upstream reached", extra={"upstream": self.upstream.upstream_id})
+        self.is_unreachable = False
+        self._retry_s = FIRST_RETRY_S
+
+    def _note_failure(self, failure: ConnectFailed) -> None:
+        self._metrics.count(f"upstream.connect_{failure.failure.value}")
+        if failure.failure is ConnectFailure.TOO_MANY:
+            self._retry_at = self._clock() + TOO_MANY_PAUSE_S
+        else:
+            self._note_unreachable(str(failure))
+        if failure.failure is ConnectFailure.WRONG_INSTANCE:
+            self.is_misplaced = True
+        if self._n_open == 0 and self._n_opening == 0:
+            self._fail_waiters(str(failure))
+
+    def _note_unreachable(self, reason: str) -> None:
+        if not self.is_unreachable:
+            extra = {"upstream": self.upstream.upstream_id, "reason": reason}
+            log.warning("upstream lost", extra=extra)
+        self.is_unreachable = True
+        self._retry_at = self._clock() + self._retry_s
+        self._retry_s = min(self._retry_s * 2, LONGEST_RETRY_S)
+
+    def _fail_waiters(self, reason: str) -> None:
+        for _, _, waiter in self._waiters:
+            if not waiter.done.is_set():
+                waiter.failure = RequestFailure(ErrorKind.NOT_RUN, reason)
+                waiter.done.set()
+        self._waiters = []
+
+    def note_silence(self) -> None:
+        """Take all idle connections for silent, since one that was lent is.
+
+        Something between both ends may have lost track of all of them at once.
+        """
+        self.silent_at = self._clock()
+        self._metrics.count("upstream.silent")
+        while self._idle:
+            self._discard(self._idle.pop())
+
+    def release(self, pooled: PooledConnection, how: Recycled) -> None:
+        """Take a lent connection back."""
+        if how is Recycled.BROKEN or self.is_closed or self._n_open > self.limit:
+            self._discard(pooled)
+        elif how is Recycled.IN_TRANSACTION:
+            assert self._nursery is not None
+            self._nursery.start_soon(self._roll_back, pooled)
+        else:
+            self._give(pooled)
+
+    async def _roll_back(self, pooled: PooledConnection) -> None:
+        reply: Reply | None = None
+        with trio.move_on_after(ROLLBACK_TIMEOUT_S):
+            try:
+                await pooled.connection.send([Request(Rollback(), OWN_REQUEST)])
+                reply = await pooled.connection.receive()
+            except ConnectionLost:
+                self._metrics.count("upstream.rollback_lost")
+        if reply is not None and reply.state is TransactionState.IDLE:
+            self.note_reply(pooled, reply)
+            self._give(pooled)
+        else:
+            self._discard(pooled)
+
+    def _give(self, pooled: PooledConnection) -> None:
+        """Hand a free connection to the first that waits, or keep it."""
+        if self.is_closed:
+            self._discard(pooled)
+            return
+        while self._waiters:
+            _, _, waiter = heappop(self._waiters)
+            if waiter.done.is_set():
+                continue
+            waiter.connection = pooled
+            waiter.done.set()
+            return
+        self._idle.append(pooled)
+
+    def _discard(self, pooled: PooledConnection) -> None:
+        self._n_open -= 1
+        assert self._nursery is not None
+        self._nursery.start_soon(pooled.connection.close)
+        self._open_for_waiters()
+
+    def close(self) -> None:
+        """Lend nothing more; close idle connections now and lent ones when back."""
+        self.is_closed = True
+        self._fail_waiters("the upstream has left")
+        while self._idle:
+            self._discard(self._idle.pop())
--- /dev/null
+++ b/celeryfold/proxy/positions.py
@@ -0,0 +1,23 @@
+"""Positions in the log of a service."""
+
+from __future__ import annotations
+
+__all__ = ["LogPosition"]
+
+import msgspec
+
+from ..kernel.ids import Position, Term
+
+
+class LogPosition(msgspec.Struct, frozen=True, order=True, array_like=True):
+    """Name an entry of a replicated log.
+
+    :param term: the term of the primary that wrote the entry.
+    :param number: its index in the log.
+    """
+
+    term: Term
+    number: Position
+
+    def __str__(self) -> str:
+        return f"{self.term}.{self.number}"
--- /dev/null
+++ b/celeryfold/proxy/routing.py
@@ -0,0 +1,109 @@
+"""Choose the upstream that shall run a statement."""
+
+from __future__ import annotations
+
+__all__ = ["Router", "estimate_wait_s"]
+
+from collections.abc import Collection, Mapping
+
+from ..kernel.ids import PlaceId, RegionId, ServiceId, UpstreamId
+from .clock import Clock
+from .directory import Directory
+from .pool import Pool
+from .pools import PoolBook
+from .positions import LogPosition
+from .samples import SampleBook
+from .upstream import Upstream
+
+# Round trips assumed until measured: within a place, a region, between regions.
+SAME_PLACE_S = 0.001
+SAME_REGION_S = 0.002
+OTHER_REGION_S = 0.060
+# What a refusal for lagging and a second try are taken to cost.
+LAGGING_COST_S = 0.050
+# An upstream that was silent is passed over for this long where there are others.
+SILENT_PENALTY_S = 2.0
+# How long a leaving primary goes on being written to; its successor leads by then.
+LEAVING_PRIMARY_USED_S = 4.0
+
+
+def estimate_wait_s(pool: Pool) -> float:
+    """Return how long a statement is likely to take, given what runs and waits."""
+    load = (pool.n_busy + pool.n_waiting) / max(pool.upstream.n_slots, 1)
+    return pool.service_s * (1.0 + load)
+
+
+class Router:
+    """Rank upstreams by distance, load, freshness and health.
+
+    :param place: the data centre of this instance.
+    """
+
+    def __init__(
+        self,
+        place: PlaceId,
+        regions: Mapping[PlaceId, RegionId],
+        directory: Directory,
+        pools: PoolBook,
+        samples: SampleBook,
+        clock: Clock,
+    ) -> None:
+        self._place = place
+        self._regions = regions
+        self._directory = directory
+        self._pools = pools
+        self._samples = samples
+        self._clock = clock
+
+    def find_leader(self, service: ServiceId) -> Pool | None:
+        """Return the pool of a service's primary, if it is known and may be used."""
+        leader = self._samples.find_leader(service)
+        if leader is None:
+            return None
+        upstream = self._directory.find(leader)
+        if upstream is None or upstream.service != service:
+            return None
+        left_s = self._directory.find_leaving_s(leader)
+        if left_s is not None and left_s > LEAVING_PRIMARY_USED_S:
+            return None
+        return self._pools.find(leader)
+
+    def find_reader(
+        self,
+        service: ServiceId,
+        needed: LogPosition,
+        avoided: Collection[UpstreamId] = (),
+    ) -> Pool | None:
+        """Return the pool of the upstream that should run a read.
+
+        :param needed: the log position that the read must see.
+        """
+        best: Pool | None = None
+        best_cost_s = 0.0
+        for upstream in self._directory.list_service(service):
+            if upstream.is_leaving or upstream.upstream_id in avoided:
+                continue
+            pool = self._pools.find(upstream.upstream_id)
+            if pool is None or not pool.may_serve():
+                continue
+            cost_s = self._rate(upstream, pool, needed)
+            if best is None or cost_s < best_cost_s:
+                best = pool
+                best_cost_s = cost_s
+        return best
+
+    def _rate(self, upstream: Upstream, pool: Pool, needed: LogPosition) -> float:
+        cost_s = self.estimate_distance_s(upstream.place) + estimate_wait_s(pool)
+        if pool.position is None or pool.position < needed:
+            cost_s += LAGGING_COST_S
+        if self._clock() - pool.silent_at < SILENT_PENALTY_S:
+            cost_s += SILENT_PENALTY_S
+        return cost_s
+
+    def estimate_distance_s(self, place: PlaceId) -> float:
+        """Return the round trip to a place that is assumed."""
+        if place == self._place:
+            return SAME_PLACE_S
+        if self._regions.get(place) == self._regions.get(self._place):
+            return SAME_REGION_S
+        return OTHER_REGION_S
--- /dev/null
+++ b/celeryfold/proxy/session.py
@@ -0,0 +1,245 @@
+"""A client's session: its values, prepared statements, transaction and own writes."""
+
+from __future__ import annotations
+
+__all__ = ["Session", "SessionPorts"]
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+
+from ..exceptions import RequestFailure
+from ..kernel.errors import ErrorKind
+from ..kernel.ids import RequestId
+from .calls import Answer, Call, OwnWrite
+from .clock import Clock
+from .reads import ReadRunner
+from .routes import Route
+from .shapes import name_shape
+from .statements import (
+    Access,
+    Begin,
+    Commit,
+    Deallocate,
+    Execute,
+    Prepare,
+    Read,
+    Request,
+    Rollback,
+    SetValue,
+    Statement,
+    Write,
+)
+from .transactions import OpenTransaction, TransactionRunner
+from .upstream import Reply, TransactionState, UpstreamError
+from .writes import WriteRunner
+
+MAX_PREPARED = 1000
+MAX_VALUES = 1000
+
+
+class SessionPorts(ABC):
+    """What a session needs of the instance."""
+
+    clock: Clock
+    reads: ReadRunner
+    writes: WriteRunner
+    transactions: TransactionRunner
+
+    @abstractmethod
+    def find_route(self, database: str) -> Route | None:
+        """Return the route in force for a database name."""
+
+    @property
+    @abstractmethod
+    def transaction_idle_s(self) -> float:
+        """How long a transaction may rest before it is undone, in seconds."""
+
+
+@dataclass(frozen=True)
+class _Bound:
+    """Hold a statement as an upstream shall get it."""
+
+    statement: Statement
+    needed: Prepare | None
+    access: Access
+
+
+class Session:
+    """Run one client's statements, one at a time.
+
+    :param database: the database name that the client connected to.
+    """
+
+    def __init__(self, database: str, ports: SessionPorts) -> None:
+        self.database = database
+        self._ports = ports
+        self._values: dict[str, str] = {}
+        self._prepared: dict[str, Prepare] = {}
+        self._transaction: OpenTransaction | None = None
+        self._own_write: OwnWrite | None = None
+        self._route: Route | None = None
+
+    @property
+    def state(self) -> TransactionState:
+        """Tell what the session's transaction is in."""
+        if self._transaction is None:
+            return TransactionState.IDLE
+        if self._transaction.has_failed:
+            return TransactionState.FAILED
+        return TransactionState.OPEN
+
+    async def run(self, request_id: RequestId, statement: Statement) -> Answer:
+        """Run one statement and return its answer, an error among them."""
+        try:
+            return await self._run(request_id, statement)
+        except RequestFailure as failure:
+            error = UpstreamError(failure.kind, failure.message)
+            return Answer(self.state, error=error)
+
+    async def _run(self, request_id: RequestId, statement: Statement) -> Answer:
+        if isinstance(statement, Rollback):
+            return self._roll_back()
+        if self.state is TransactionState.FAILED:
+            return self._refuse_failed(statement)
+        match statement:
+            case Begin():
+                return self._begin(statement)
+            case SetValue():
+                return self._set_value(statement)
+            case Prepare():
+                return self._prepare(statement)
+            case Deallocate():
+                return self._deallocate(statement)
+            case Read() | Write() | Execute() | Commit():
+                return await self._forward(request_id, statement)
+            case _:
+                raise RequestFailure(ErrorKind.BAD_REQUEST, "not a client's statement")
+
+    def _refuse_failed(self, statement: Statement) -> Answer:
+        """Answer a statement of a transaction that has failed; a commit ends it."""
+        if isinstance(statement, Commit):
+            self._end_transaction()
+            text = "the transaction had failed; it was rolled back"
+            raise RequestFailure(ErrorKind.TRANSACTION_LOST, text)
+        raise RequestFailure(ErrorKind.BAD_REQUEST, "the transaction failed; roll back")
+
+    def _begin(self, statement: Begin) -> Answer:
+        """Open a transaction; its upstream is chosen with its first statement."""
+        if self._transaction is not None:
+            raise RequestFailure(ErrorKind.BAD_REQUEST, "a transaction is open")
+        self._route = self._find_route()
+        now = self._ports.clock()
+        self._transaction = OpenTransaction(statement.read_only, now)
+        return Answer(self.state)
+
+    def _roll_back(self) -> Answer:
+        if self._transaction is None:
+            raise RequestFailure(ErrorKind.BAD_REQUEST, "no transaction is open")
+        self._end_transaction()
+        return Answer(self.state)
+
+    def _end_transaction(self) -> None:
+        if self._transaction is not None:
+            self._transaction.abandon()
+        self._transaction = None
+
+    def _set_value(self, statement: SetValue) -> Answer:
+        if len(self._values) >= MAX_VALUES and statement.name not in self._values:
+            text = f"a session holds at most {MAX_VALUES} values"
+            raise RequestFailure(ErrorKind.BAD_REQUEST, text)
+        self._values[statement.name] = statement.value
+        return Answer(self.state)
+
+    def _prepare(self, statement: Prepare) -> Answer:
+        if len(self._prepared) >= MAX_PREPARED:
+            text = f"a session holds at most {MAX_PREPARED} prepared statements"
+            raise RequestFailure(ErrorKind.BAD_REQUEST, text)
+        self._prepared[statement.name] = statement
+        return Answer(self.state)
+
+    def _deallocate(self, statement: Deallocate) -> Answer:
+        if self._prepared.pop(statement.name, None) is None:
+            text = f"no statement is prepared under '{statement.name}'"
+            raise RequestFailure(ErrorKind.UNKNOWN_STATEMENT, text)
+        return Answer(self.state)
+
+    async def _forward(self, request_id: RequestId, statement: Statement) -> Answer:
+        """Run a statement at an upstream."""
+        arrived_at = self._ports.clock()
+        bound = self._bind(statement)
+        transaction = self._transaction
+        if transaction is None and isinstance(statement, Commit):
+            raise RequestFailure(ErrorKind.BAD_REQUEST, "no transaction is open")
+        route = self._route if transaction is not None else self._find_route()
+        assert route is not None
+        call = Call(
+            request=Request(bound.statement, request_id),
+            needed=bound.needed,
+            values=dict(self._values),
+            route=route,
+            own_write=self._own_write,
+            arrived_at=arrived_at,
+        )
+        if transaction is not None:
+            return await self._run_in_transaction(call, transaction)
+        if bound.access is Access.WRITE:
+            reply = await self._ports.writes.run(call)
+            self._note_commit(reply)
+        else:
+            reply = await self._ports.reads.run(call)
+        return Answer.from_reply(reply, self.state)
+
+    async def _run_in_transaction(
+        self, call: Call, transaction: OpenTransaction
+    ) -> Answer:
+        is_commit = isinstance(call.request.statement, Commit)
+        try:
+            reply = await self._ports.transactions.run(call, transaction)
+        finally:
+            if is_commit:
+                self._end_transaction()
+        if is_commit and transaction.has_written:
+            self._note_commit(reply)
+        return Answer.from_reply(reply, self.state)
+
+    def _note_commit(self, reply: Reply) -> None:
+        if reply.error is None and reply.position is not None:
+            self._own_write = OwnWrite(reply.position, self._ports.clock())
+
+    def _bind(self, statement: Statement) -> _Bound:
+        """Replace the client's name of a prepared statement by one of its shape."""
+        if isinstance(statement, Execute):
+            prepared = self._prepared.get(statement.name)
+            if prepared is None:
+                text = f"no statement is prepared under '{statement.name}'"
+                raise RequestFailure(ErrorKind.UNKNOWN_STATEMENT, text)
+            shared = Prepare(name_shape(prepared), prepared.access, prepared.shape)
+            renamed = Execute(shared.name, statement.arguments)
+            return _Bound(renamed, shared, prepared.access)
+        access = Access.WRITE if isinstance(statement, Write) else Access.READ
+        return _Bound(statement, None, access)
+
+    def _find_route(self) -> Route:
+        route = self._ports.find_route(self.database)
+        if route is None:
+            text = f"no database is named '{self.database}'"
+            raise RequestFailure(ErrorKind.UNKNOWN_SERVICE, text)
+        return route
+
+    def expire_idle(self) -> None:
+        """Undo a transaction that has rested for too long."""
+        transaction = self._transaction
+        if transaction is None or transaction.has_failed:
+            return
+        if self._ports.clock() - transaction.used_at > self._ports.transaction_idle_s:
+            self.abort()
+
+    def abort(self) -> None:
+        """Undo the open transaction; its client hears so with its next statement."""
+        if self._transaction is not None and not self._transaction.has_failed:
+            self._transaction.abandon()
+            self._transaction.has_failed = True
+
+    def close(self) -> None:
+        """Undo what is open; the client has gone."""
+        self._end_transaction()
--- /dev/null
+++ b/celeryfold/proxy/shapes.py
@@ -0,0 +1,18 @@
+"""Names of prepared statements that connections can keep for all sessions."""
+
+from __future__ import annotations
+
+__all__ = ["name_shape"]
+
+import xxhash
+
+from .statements import Prepare
+
+
+def name_shape(prepared: Prepare) -> str:
+    """Return the name under which a shape is prepared on pooled connections.
+
+    Clients' names collide; the same shape has the same name for all of them.
+    """
+    text = f"{prepared.access.value} {prepared.shape}"
+    return f"p{xxhash.xxh128_hexdigest(text.encode())}"
--- /dev/null
+++ b/celeryfold/proxy/statements.py
@@ -0,0 +1,157 @@
+"""Statements of clients and orders of our own, as types."""
+
+from __future__ import annotations
+
+__all__ = [
+    "OWN_REQUEST",
+    "Access",
+    "Begin",
+    "Commit",
+    "Deallocate",
+    "Demote",
+    "Execute",
+    "Pause",
+    "Prepare",
+    "Read",
+    "ReadStatus",
+    "Request",
+    "Reset",
+    "Resume",
+    "Rollback",
+    "SetValue",
+    "Statement",
+    "Write",
+]
+
+from enum import Enum
+
+import msgspec
+
+from ..kernel.ids import RequestId, Term
+from .positions import LogPosition
+
+OWN_REQUEST = RequestId("")
+
+
+class Access(Enum):
+    """Tell whether a statement reads or writes."""
+
+    READ = "read"
+    WRITE = "write"
+
+
+class Begin(msgspec.Struct, frozen=True):
+    """Open a transaction."""
+
+    read_only: bool = False
+
+
+class Commit(msgspec.Struct, frozen=True):
+    """Commit the open transaction."""
+
+
+class Rollback(msgspec.Struct, frozen=True):
+    """Undo the open transaction."""
+
+
+class Read(msgspec.Struct, frozen=True):
+    """Read one item.
+
+    :param arguments: the statement's text after its verb, kept as it came.
+    """
+
+    arguments: str
+
+
+class Write(msgspec.Struct, frozen=True):
+    """Write one item.
+
+    :param arguments: the statement's text after its verb, kept as it came.
+    """
+
+    arguments: str
+
+
+class SetValue(msgspec.Struct, frozen=True):
+    """Set a session value."""
+
+    name: str
+    value: str
+
+
+class Prepare(msgspec.Struct, frozen=True):
+    """Give a statement's shape a name."""
+
+    name: str
+    access: Access
+    shape: str
+
+
+class Execute(msgspec.Struct, frozen=True):
+    """Run a prepared statement.
+
+    :param arguments: the text after the name, kept as it came.
+    """
+
+    name: str
+    arguments: str
+
+
+class Deallocate(msgspec.Struct, frozen=True):
+    """Forget a prepared statement."""
+
+    name: str
+
+
+class Reset(msgspec.Struct, frozen=True):
+    """Clear a connection's values and prepared statements."""
+
+
+class ReadStatus(msgspec.Struct, frozen=True):
+    """Ask an upstream for its role and positions."""
+
+
+class Pause(msgspec.Struct, frozen=True):
+    """Have a replica receive nothing more of terms up to this one."""
+
+    term: Term
+
+
+class Resume(msgspec.Struct, frozen=True):
+    """Have a paused replica receive again."""
+
+
+class Demote(msgspec.Struct, frozen=True):
+    """Make a primary of a lower term a replica."""
+
+    term: Term
+
+
+Statement = (
+    Begin
+    | Commit
+    | Rollback
+    | Read
+    | Write
+    | SetValue
+    | Prepare
+    | Execute
+    | Deallocate
+    | Reset
+    | ReadStatus
+    | Pause
+    | Resume
+    | Demote
+)
+
+
+class Request(msgspec.Struct, frozen=True):
+    """Send one statement to an upstream.
+
+    :param request_id: the client's id, or OWN_REQUEST for a statement of our own.
+    :param since: the log position that the upstream must have, or it refuses.
+    """
+
+    statement: Statement
+    request_id: RequestId = OWN_REQUEST
+    since: LogPosition | None = None
--- /dev/null
+++ b/celeryfold/proxy/watcher.py
@@ -0,0 +1,192 @@
+"""Follow the store: configuration, upstreams and the holders of duties."""
+
+from __future__ import annotations
+
+__all__ = ["EntryDecoder", "StoreWatcher"]
+
+import logging
+from abc import ABC, abstractmethod
+
+import trio
+
+from ..exceptions import CeleryfoldError
+from ..kernel.ids import UpstreamId
+from ..kernel.metrics import Metrics
+from .directory import Directory, Listing
+from .routes import Routes, RouteTable
+from .store import (
+    Changes,
+    CoordinationStore,
+    HistoryLost,
+    Item,
+    StoreUnavailable,
+)
+from .upstream import Upstream
+
+log = logging.getLogger(__name__)
+
+# Upstreams write to the store about every second; asking at once after each answer
+# would be a call for every such write.
+WATCH_PAUSE_S = 0.8
+WATCH_WAIT_S = 3.0
+RETRY_S = 0.4
+# Upstreams write all the time; a watch that hears nothing for longer is read anew.
+SILENCE_S = 4.0
+# A watch may miss changes that were dropped from the history while it was cut.
+RELIST_S = 10.0
+
+
+class EntryDecoder(ABC):
+    """Turn what others wrote to the store into types."""
+
+    upstream_prefix: str
+    table_key: str
+
+    @abstractmethod
+    def decode_upstream(self, upstream_id: UpstreamId, value: bytes) -> Upstream | None:
+        """Return the upstream in an entry, or None where it names none to use."""
+
+    @abstractmethod
+    def decode_table(self, value: bytes) -> RouteTable:
+        """Return the configuration in an entry.
+
+        :raises BadInput: where it cannot be read.
+        """
+
+
+class StoreWatcher:
+    """Keep the routes, the directory and the known duty keys up to date."""
+
+    def __init__(
+        self,
+        store: CoordinationStore,
+        decoder: EntryDecoder,
+        routes: Routes,
+        directory: Directory,
+        metrics: Metrics,
+    ) -> None:
+        self._store = store
+        self._decoder = decoder
+        self._routes = routes
+        self._directory = directory
+        self._metrics = metrics
+        self._upstreams: dict[UpstreamId, Upstream] = {}
+        self._as_of = 0
+        self._listed_at = 0.0
+        self._heard_at = 0.0
+        self.is_connected = False
+        self.items: dict[str, Item] = {}
+
+    async def run(self, own_prefix: str) -> None:
+        """Follow the store until cancelled.
+
+        :param own_prefix: prefix of the keys of this product, kept in ``items``.
+        """
+        self._own_prefix = own_prefix
+        while True:
+            try:
+                await self._step()
+            except StoreUnavailable as error:
+                self._note_lost(str(error))
+                await trio.sleep(RETRY_S)
+            except HistoryLost:
+                log.info("store history lost", extra={"as_of": self._as_of})
+                self._as_of = 0
+
+    async def _step(self) -> None:
+        if not self._as_of or self._is_relist_due():
+            await self._list_all()
+        changes = await self._store.watch("", self._as_of, WATCH_WAIT_S)
+        self._note_regained()
+        self._as_of = max(self._as_of, changes.as_of)
+        if changes.changes:
+            self._heard_at = trio.current_time()
+        self._apply(changes)
+        await trio.sleep(WATCH_PAUSE_S)
+
+    def _is_relist_due(self) -> bool:
+        now = trio.current_time()
+        return now - self._listed_at > RELIST_S or now - self._heard_at > SILENCE_S
+
+    async def _list_all(self) -> None:
+        listed = await self._store.list_items(self._decoder.upstream_prefix)
+        table = await self._store.get(self._decoder.table_key)
+        own = await self._store.list_items(self._own_prefix)
+        self._note_regained()
+        if table is not None:
+            self._adopt_table(table)
+        self.items = {item.key: item for item in own.items}
+        self._upstreams = {}
+        for item in listed.items:
+            self._take_upstream(item)
+        self._as_of = max(self._as_of, listed.as_of)
+        self._listed_at = self._heard_at = trio.current_time()
+        self._publish(listed.as_of)
+
+    def _apply(self, changes: Changes) -> None:
+        revision = 0
+        for change in changes.changes:
+            if change.key.startswith(self._decoder.upstream_prefix):
+                if self._apply_upstream(change.key, change.item):
+                    revision = max(revision, change.revision)
+            elif change.key == self._decoder.table_key and change.item is not None:
+                self._adopt_table(change.item)
+            elif change.key.startswith(self._own_prefix):
+                self._apply_own(change.key, change.item)
+        if revision:
+            self._publish(revision)
+
+    def _apply_own(self, key: str, item: Item | None) -> None:
+        if item is None:
+            self.items.pop(key, None)
+        else:
+            self.items[key] = item
+
+    def _apply_upstream(self, key: str, item: Item | None) -> bool:
+        """Take in a changed entry; tell whether that changed what it says."""
+        upstream_id = self._name_upstream(key)
+        before = self._upstreams.get(upstream_id)
+        if item is None:
+            self._upstreams.pop(upstream_id, None)
+        else:
+            self._take_upstream(item)
+        return self._upstreams.get(upstream_id) != before
+
+    def _name_upstream(self, key: str) -> UpstreamId:
+        return UpstreamId(key.removeprefix(self._decoder.upstream_prefix))
+
+    def _take_upstream(self, item: Item) -> None:
+        upstream_id = self._name_upstream(item.key)
+        upstream = self._decoder.decode_upstream(upstream_id, item.value)
+        if upstream is not None:
+            self._upstreams[upstream_id] = upstream
+            return
+        self._metrics.count("store.unusable_entry")
+        log.warning(
+            "unusable entry", extra={"key": item.key, "revision": item.revision}
+        )
+        self._upstreams.pop(upstream_id, None)
+
+    def _publish(self, revision: int) -> None:
+        upstreams = tuple(self._upstreams.values())
+        if upstreams != self._directory.listing.upstreams:
+            self._directory.adopt(Listing(revision, upstreams), "store")
+
+    def _adopt_table(self, item: Item) -> None:
+        try:
+            table = self._decoder.decode_table(item.value)
+        except CeleryfoldError as error:
+            extra = {"key": item.key, "revision": item.revision, "reason": str(error)}
+            log.error("unreadable configuration", extra=extra)
+            return
+        self._routes.adopt(table, item.value, "store")
+
+    def _note_lost(self, reason: str) -> None:
+        if self.is_connected:
+            log.warning("store lost", extra={"reason": reason, "as_of": self._as_of})
+        self.is_connected = False
+
+    def _note_regained(self) -> None:
+        if not self.is_connected:
+            log.info("store reached", extra={"as_of": self._as_of})
+        self.is_connected = True
--- a/celeryfold/standins/local.py
+++ b/celeryfold/standins/local.py
@@ -30,8 +30,8 @@
 )
 from ..drivers.store import Store, StoreEntry, StoreUnavailable
 from ..exceptions import CeleryfoldError
-from ..fleet.link import PeerLink, PeerUnreachable
 from ..kernel.ids import Position, SlotId, Term
+from ..links.link import PeerLink, PeerUnreachable
 from .faults import Faults
 from .listing import ListEngine
 from .log import LogBatch
--- a/celeryfold/wire/client.py
+++ b/celeryfold/wire/client.py
@@ -5,7 +5,7 @@
 __all__ = ["HttpChannel", "HttpClient", "Unanswered", "Unreachable", "split_address"]
 
 import ssl
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import h11
 import trio
@@ -19,6 +19,9 @@
 IDLE_CHANNEL_KEPT_S = 20.0
 
 
+Headers = Sequence[tuple[str, str]]
+
+
 class Unreachable(CeleryfoldError):
     """No connection could be opened: nothing was sent."""
 
@@ -65,7 +68,9 @@
         self._stream = stream
         self.usable = True
 
-    async def request(self, method: str, path: str, body: bytes = b"") -> HttpResponse:
+    async def request(
+        self, method: str, path: str, body: bytes = b"", headers: Headers = ()
+    ) -> HttpResponse:
         """Send a request and return its whole answer.
 
         :raises Unanswered: where the connection ends or breaks before that.
@@ -76,7 +81,7 @@
             self.usable = False
             raise Unreachable(f"{self.address} ended the connection or sent too much")
         self.usable = False
-        data = self._encode(method, path, body)
+        data = self._encode(method, path, body, headers)
         self.n_bytes += len(data)
         try:
             await self._stream.send_all(data)
@@ -106,8 +111,12 @@
             return bool(stream.socket.is_readable())
         return False
 
-    def _encode(self, method: str, path: str, body: bytes) -> bytes:
-        headers = [("Host", self.address), ("Content-Length", str(len(body)))]
+    def _encode(self, method: str, path: str, body: bytes, extra: Headers) -> bytes:
+        headers = [
+            ("Host", self.address),
+            ("Content-Length", str(len(body))),
+            *extra,
+        ]
         head = h11.Request(method=method, target=path, headers=headers)
         parts = [self._parser.send(head) or b""]
         if body:
@@ -158,7 +167,9 @@
         self._tls = tls
         self._idle: list[HttpChannel] = []
 
-    async def request(self, method: str, path: str, body: bytes = b"") -> HttpResponse:
+    async def request(
+        self, method: str, path: str, body: bytes = b"", headers: Headers = ()
+    ) -> HttpResponse:
         """Send one request on an idle connection or a new one.
 
         :raises Unreachable: where nothing was sent.
@@ -167,7 +178,7 @@
         channel = await self._take()
         n_bytes_before = channel.n_bytes
         try:
-            response = await channel.request(method, path, body)
+            response = await channel.request(method, path, body, headers)
             if self._count_bytes is not None:
                 self._count_bytes(channel.n_bytes - n_bytes_before)
         except BaseException:
--- a/celeryfold/wire/messages.py
+++ b/celeryfold/wire/messages.py
@@ -34,6 +34,7 @@
     body: bytes = b"{}"
     headers: list[tuple[str, str]] = field(default_factory=list)
     close: bool = False
+    content_type: str = "application/json"
 
     @classmethod
     def from_object(cls, content: Any, status: int = 200) -> HttpResponse:
--- a/celeryfold/wire/server.py
+++ b/celeryfold/wire/server.py
@@ -239,7 +239,7 @@
     close: bool = False,
 ) -> None:
     headers = [
-        ("Content-Type", "application/json"),
+        ("Content-Type", response.content_type),
         ("Content-Length", str(len(response.body))),
         *response.headers,
     ]
--- a/celeryfold/wire/tests/test_answers.py
+++ b/celeryfold/wire/tests/test_answers.py
@@ -86,7 +86,7 @@
     async def keep(self) -> None:
         self.usable = True
 
-    async def request_sharing(self, method, path, body=b""):
+    async def request_sharing(self, method, path, body=b"", headers=()):
         if self._stream is None:
             await HttpChannel.start(self)
         await self._stream.send_all(f"GET {path} HTTP/1.1\r\n\r\n".encode())
