--- a/celeryfold/platform/connections.py
+++ b/celeryfold/platform/connections.py
@@ -22,7 +22,7 @@
     UpstreamError,
 )
 from ..wire.client import split_address
-from .lines import LineStream, LineTooLong
+from .lines import LineStream, LineTooLong, open_lines
 from .words import (
     decode_position,
     decode_state,
@@ -150,8 +150,7 @@
         connection: LineConnection | None = None
         try:
             with trio.fail_after(CONNECT_TIMEOUT_S):
-                stream = await trio.open_tcp_stream(host, port)
-                connection = LineConnection(LineStream(stream))
+                connection = LineConnection(await open_lines(host, port))
                 await connection.start(
                     upstream.service, self._caller, upstream.upstream_id
                 )
@@ -160,7 +159,9 @@
             if connection is not None:
                 with trio.CancelScope(shield=True):
                     await connection.close()
+            text = f"{upstream.upstream_id} at {upstream.address}: {error!r}"
+            if isinstance(error, ConnectionRefusedError):
+                raise ConnectFailed(ConnectFailure.REFUSED, text) from error
             if isinstance(error, OSError | trio.TooSlowError | ConnectionLost):
-                text = f"{upstream.upstream_id} at {upstream.address}: {error!r}"
                 raise ConnectFailed(ConnectFailure.UNREACHABLE, text) from error
             raise
--- a/celeryfold/platform/lines.py
+++ b/celeryfold/platform/lines.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-__all__ = ["MAX_LINE_BYTES", "LineStream", "LineTooLong"]
+__all__ = ["MAX_LINE_BYTES", "LineStream", "LineTooLong", "open_lines"]
 
 import socket
 
@@ -26,6 +26,21 @@
     """A line is over the limit; what follows it cannot be told apart."""
 
 
+async def open_lines(host: str, port: int) -> LineStream:
+    """Open a connection to an IP number.
+
+    :raises ConnectionRefusedError: where nothing listens.
+    :raises OSError: where it cannot be reached.
+    """
+    sock = trio.socket.socket()
+    try:
+        await sock.connect((host, port))
+    except BaseException:
+        sock.close()
+        raise
+    return LineStream(trio.SocketStream(sock))
+
+
 class LineStream:
     """Read and write lines; reading is safe to cancel."""
 
--- a/celeryfold/platform/settings.py
+++ b/celeryfold/platform/settings.py
@@ -22,7 +22,6 @@
     :param store: address of the platform's store.
     :param promotions: address of the platform's machine interface.
     :param grace_s: seconds between the order to stop and the kill.
-    :param first_start: whether the whole system starts for the first time.
     """
 
     instance: str
@@ -35,7 +34,6 @@
     store: str
     promotions: str
     grace_s: float
-    first_start: bool
 
     def make_proxy_settings(self) -> ProxySettings:
         """Return the settings of the instance."""
@@ -50,7 +48,6 @@
             peer_address=self.peers,
             seeds=tuple(self.seeds),
             grace_s=self.grace_s,
-            is_first_start=self.first_start,
         )
 
 
--- a/celeryfold/proxy/guardian.py
+++ b/celeryfold/proxy/guardian.py
@@ -13,7 +13,7 @@
 import logging
 import math
 from abc import ABC, abstractmethod
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
 
 import msgspec
@@ -26,23 +26,31 @@
 from .clock import Clock
 from .control import ControlConnection, ControlFailed
 from .directory import Directory
-from .leases import LEASE_S, Duty, DutyLost
+from .leases import LEASE_S, Duty
 from .members import AckSet, Held, Member, choose_caught_up, choose_successor
 from .peers import PeerBook
 from .positions import LogPosition
 from .routes import Routes
 from .samples import Sample, SampleBook
-from .store import CoordinationStore, Expectation, ItemWrite, StoreUnavailable
-from .upstream import Connector, Upstream, UpstreamRole, UpstreamStatus
+from .store import CoordinationStore, Expectation, ItemWrite
+from .upstream import (
+    ConnectFailure,
+    Connector,
+    Upstream,
+    UpstreamRole,
+    UpstreamStatus,
+)
 from .watcher import StoreWatcher
 
 log = logging.getLogger(__name__)
 
 STEP_S = 0.25
-# Three missed samples and a round trip.
-SUSPECT_S = 1.5
-# Peers exchange news each half second; who hears none of them may be cut off itself.
-PEERS_HEARD_S = 1.6
+# Two missed samples and a round trip between regions.
+SUSPECT_S = 0.9
+# A sample is due by then: time to see whether the primary's machine refuses us.
+OVERDUE_S = 0.5
+# Who has just asked all peers and heard none of them may be cut off itself.
+PEERS_HEARD_S = 0.5
 # A service that never had a primary is left to start up by itself for so long.
 FIRST_PRIMARY_S = 4.0
 # The promoted upstream leads within about a second.
@@ -84,23 +92,33 @@
     """Bundle what a guardian needs.
 
     :param me: this instance.
-    :param is_first_start: whether the whole system starts for the first time.
+    :param ask_peers: asks all peers for their newest samples.
     """
 
     me: InstanceId
-    is_first_start: bool
     store: CoordinationStore
     watcher: StoreWatcher
     routes: Routes
     directory: Directory
     samples: SampleBook
     peers: PeerBook
+    ask_peers: Callable[[], Awaitable[None]]
     connector: Connector
     promotions: Promotions
     clock: Clock
     metrics: Metrics
 
 
+class _Record(msgspec.Struct, frozen=True):
+    """Hold what a holder of the duty leaves to the next one.
+
+    :param turn_of: who may have ordered a promotion a moment ago, or empty.
+    """
+
+    members: tuple[Member, ...] = ()
+    turn_of: str = ""
+
+
 class Guardian:
     """Take the duty of one service when it is free, and act while it is held.
 
@@ -116,7 +134,9 @@
         self._ports = ports
         self._clock = ports.clock
         self._ack_set = AckSet()
-        self._written: frozenset[Member] = frozenset()
+        self._record = _Record()
+        self._record_revision = 0
+        self._turn_at = -math.inf
         self._controls: dict[Member, ControlConnection] = {}
         self._started_at = ports.clock()
         self._free_since = math.inf
@@ -130,7 +150,7 @@
             await trio.sleep(STEP_S)
             try:
                 await self._step()
-            except (DutyLost, StoreUnavailable, ControlFailed) as error:
+            except CeleryfoldError as error:
                 extra = {"service": self.service, "reason": str(error)}
                 log.warning("guardian step failed", extra=extra)
                 await trio.sleep(RETRY_S)
@@ -142,14 +162,15 @@
             return
         if self._clock() < self._act_at:
             return
-        await self._write_members()
+        await self._write_record(self._clock() - self._turn_at < LEASE_S)
         newest = self._ports.samples.newest(self.service)
         if newest is None:
             if self._clock() - self._started_at > FIRST_PRIMARY_S:
-                await self._fail_over(None)
+                await self._suspect(None)
             return
-        if self._clock() - newest.taken_at > SUSPECT_S:
-            await self._fail_over(newest)
+        age_s = self._clock() - newest.taken_at
+        if age_s > SUSPECT_S or (age_s > OVERDUE_S and await self._is_down(newest)):
+            await self._suspect(newest)
             return
         await self._resume_all()
         await self._settle(newest)
@@ -171,63 +192,76 @@
                 known.upstream = upstream
 
     async def _seek(self) -> None:
-        """Take the duty where nobody holds it; the nearest in rank goes first."""
-        if self._duty.taken_at > -math.inf and self._act_at < math.inf:
+        """Take the duty where nobody holds it; the first in rank goes first."""
+        if self._duty.was_held:
             self._duty.drop("the lease ran out")
-            self._act_at = math.inf
             await self._close_controls()
         item = self._ports.watcher.items.get(self._duty.key)
-        if item is not None:
-            self._free_since = math.inf
-            if self._duty.recognize(item):
-                await self._take_up()
+        if item is not None and self._duty.recognize(item):
+            await self._take_up()
             return
-        if not self._ports.watcher.is_connected:
+        is_free = item is None or self._duty.may_replace(item)
+        if not is_free or not self._ports.watcher.is_connected:
+            self._free_since = math.inf
             return
         self._free_since = min(self._free_since, self._clock())
-        delay_s = self._find_rank() * RANK_DELAY_S
+        delay_s = self._find_rank() * RANK_DELAY_S if item is None else 0.0
         if self._clock() - self._free_since < delay_s:
             return
         self._free_since = math.inf
-        await self._duty.take()
+        await self._duty.take(item)
         await self._take_up()
 
     def _find_rank(self) -> int:
-        names = [peer.instance_id for peer in self._ports.peers.list_alive()]
-        ranked = sorted([*names, self._ports.me], key=self._weigh, reverse=True)
-        return ranked.index(self._ports.me)
+        watchers = self._ports.peers.list_watchers()
+        ranked = sorted(watchers, key=self._weigh, reverse=True)
+        if self._ports.me in ranked:
+            return ranked.index(self._ports.me)
+        return len(ranked)
 
     def _weigh(self, instance: InstanceId) -> int:
         return weigh(self.service, instance)
 
     async def _take_up(self) -> None:
-        """Read what the last holder wrote; act once its turn is over for certain."""
+        """Read what the last holder left; act once its turn is over for certain."""
         now = self._clock()
-        is_first = (
-            self._ports.is_first_start and now - self._started_at < 2 * FIRST_PRIMARY_S
-        )
-        self._act_at = now if is_first else now + LEASE_S
-        item = await self._ports.store.get(self._members_key)
-        if item is not None:
-            members = msgspec.json.decode(item.value, type=list[Member])
-            self._ack_set.restore(members, now)
-            self._written = frozenset(members)
+        await self._read_record()
+        self._ack_set.restore(self._record.members, now)
+        is_turn_open = self._record.turn_of not in ("", self._ports.me)
+        self._act_at = now + LEASE_S if is_turn_open else now
         self._are_paused = set(self._controls)
 
-    async def _write_members(self) -> None:
-        """Write the members down where they changed, for the next holder."""
-        members = self._ack_set.members
-        if members == self._written or not members:
-            return
+    async def _read_record(self) -> None:
         item = await self._ports.store.get(self._members_key)
-        revision = item.revision if item is not None else 0
-        value = msgspec.json.encode(sorted(members))
+        self._record = _Record()
+        self._record_revision = 0
+        if item is None:
+            return
+        self._record_revision = item.revision
+        try:
+            self._record = msgspec.json.decode(item.value, type=_Record)
+        except msgspec.DecodeError as error:
+            extra = {"key": self._members_key, "reason": str(error)}
+            log.error("unreadable record", extra=extra)
+
+    async def _write_record(self, has_turn: bool) -> None:
+        """Write down what the next holder needs, where it changed.
+
+        :param has_turn: whether a promotion may be ordered, or was a moment ago.
+        """
+        members = tuple(sorted(self._ack_set.members))
+        record = _Record(members, self._ports.me if has_turn else "")
+        if record == self._record:
+            return
         self._duty.use_token()
-        await self._ports.store.commit(
-            [Expectation(self._members_key, revision)],
-            [ItemWrite(self._members_key, value)],
-        )
-        self._written = members
+        expected = [Expectation(self._members_key, self._record_revision)]
+        write = ItemWrite(self._members_key, msgspec.json.encode(record))
+        try:
+            self._record_revision = await self._ports.store.commit(expected, [write])
+        except CeleryfoldError:
+            await self._read_record()
+            raise
+        self._record = record
 
     async def _settle(self, newest: Sample) -> None:
         """Drop members that are gone and whose commits others hold."""
@@ -246,19 +280,43 @@
             if control is not None:
                 await control.close()
 
-    async def _fail_over(self, newest: Sample | None) -> None:
-        """Find who leads, or stop all replicas and promote the one with most."""
+    async def _is_down(self, newest: Sample) -> bool:
+        """Tell whether the primary's machine says that nothing listens there."""
+        for member, control in self._controls.items():
+            if member.upstream_id != newest.upstream:
+                continue
+            try:
+                await control.open()
+            except ControlFailed as error:
+                return error.failure is ConnectFailure.REFUSED
+        return False
+
+    async def _suspect(self, newest: Sample | None) -> None:
+        """Fail over, unless a peer still hears from the primary."""
+        await self._ports.ask_peers()
         if self._is_alone():
             return
-        self._log_turn("primary suspected", newest)
+        heard = self._ports.samples.newest(self.service)
+        if heard is not None and heard != newest:
+            if self._clock() - heard.taken_at <= SUSPECT_S:
+                return
+        self._log_turn("primary suspected", heard)
         self._ports.metrics.count("failover.suspected")
-        statuses = await self._ask_all(lambda control: control.read_status())
+        await self._fail_over(heard)
+
+    async def _fail_over(self, newest: Sample | None) -> None:
+        """Find who leads, or stop all replicas and promote the one with most.
+
+        The lost primary is not asked: it has just not answered.
+        """
+        lost = newest.upstream if newest is not None else None
+        others = [member for member in self._controls if member.upstream_id != lost]
+        statuses = await self._ask_all(lambda control: control.read_status(), others)
         if await self._find_present_leader(statuses):
             return
         term = self._find_next_term(statuses, newest)
         self._are_paused |= set(statuses)
-        paused = await self._ask_all(lambda control: control.pause(term))
-        lost = newest.upstream if newest is not None else None
+        paused = await self._ask_all(lambda control: control.pause(term), others)
         required = [m for m in self._ack_set.members if m.upstream_id != lost]
         held = self._describe_held(paused)
         chosen = choose_successor(required, held)
@@ -354,11 +412,14 @@
 
     async def _promote(self, chosen: Member, term: Term) -> None:
         """Promote a member and wait until it leads."""
+        self._turn_at = self._clock()
+        await self._write_record(has_turn=True)
         if self._ordered not in (None, chosen):
             await self._duty.renew_token()
         self._ordered = chosen
         for _ in range(N_PROMOTE_TRIES):
             token = self._duty.use_token()
+            self._turn_at = self._clock()
             extra = {
                 "service": self.service,
                 "upstream": chosen.upstream_id,
@@ -406,9 +467,11 @@
             self._are_paused.discard(member)
 
     async def _ask_all(
-        self, ask: Callable[[ControlConnection], Awaitable[UpstreamStatus]]
+        self,
+        ask: Callable[[ControlConnection], Awaitable[UpstreamStatus]],
+        members: Iterable[Member] | None = None,
     ) -> dict[Member, UpstreamStatus]:
-        """Ask all members at once; those that do not answer are left out."""
+        """Ask members at once, all where none are named; left out is who is silent."""
         answers: dict[Member, UpstreamStatus] = {}
 
         async def ask_one(member: Member, control: ControlConnection) -> None:
@@ -419,8 +482,8 @@
                 log.info("member does not answer", extra=extra)
 
         async with trio.open_nursery() as nursery:
-            for member, control in self._controls.items():
-                nursery.start_soon(ask_one, member, control)
+            for member in self._controls if members is None else members:
+                nursery.start_soon(ask_one, member, self._controls[member])
         return answers
 
     async def _close_controls(self) -> None:
--- a/celeryfold/proxy/instance.py
+++ b/celeryfold/proxy/instance.py
@@ -39,6 +39,8 @@
 
 KEY_PREFIX = "celeryfold/"
 HOUSEKEEPING_S = 0.5
+# Peers pass the store's word on within two exchanges or three.
+STORE_AGE_S = 2.5
 
 
 @dataclass(frozen=True)
@@ -48,7 +50,6 @@
     :param client_host: where clients connect.
     :param peer_address: where other instances connect.
     :param grace_s: time between the order to stop and the end of the process, seconds.
-    :param is_first_start: whether the whole system starts for the first time.
     """
 
     instance_id: InstanceId
@@ -59,7 +60,6 @@
     peer_address: str
     seeds: tuple[str, ...]
     grace_s: float
-    is_first_start: bool
 
 
 @dataclass(frozen=True)
@@ -114,9 +114,6 @@
         self.reads = ReadRunner(*parts)
         self.writes = WriteRunner(*parts)
         self.transactions = TransactionRunner(*parts)
-        self.watcher = StoreWatcher(
-            platform.store, platform.decoder, self.routes, self.directory, metrics
-        )
         self.news = PeerNews(
             self.peers,
             link,
@@ -127,6 +124,15 @@
             clock,
             metrics,
         )
+        self.watcher = StoreWatcher(
+            platform.store,
+            platform.decoder,
+            self.routes,
+            self.directory,
+            metrics,
+            self._must_watch,
+            self.news.hear_store,
+        )
         self.sampler = Sampler(
             Runner(*parts), self.routes, self.directory, self.pools, clock, metrics
         )
@@ -193,6 +199,12 @@
         table = self.routes.table
         return table.transaction_idle_s if table else DEFAULT_TRANSACTION_IDLE_S
 
+    def _must_watch(self) -> bool:
+        """Tell whether to watch the store: one of a place, or who hears nothing new."""
+        if self.settings.instance_id in self.peers.list_watchers():
+            return True
+        return self.news.store_age_s > STORE_AGE_S
+
     def _find_share(self, upstream: Upstream) -> tuple[int, int]:
         """Return among how many instances connections are divided, and our rank."""
         return len(self.peers.list_alive()) + 1, self.peers.rank()
@@ -219,13 +231,13 @@
         settings = self.settings
         ports = GuardianPorts(
             me=settings.instance_id,
-            is_first_start=settings.is_first_start,
             store=self._platform.store,
             watcher=self.watcher,
             routes=self.routes,
             directory=self.directory,
             samples=self.samples,
             peers=self.peers,
+            ask_peers=self.news.ask_all,
             connector=self._platform.connector,
             promotions=self._platform.promotions,
             clock=self.clock,
--- a/celeryfold/proxy/leases.py
+++ b/celeryfold/proxy/leases.py
@@ -99,7 +99,7 @@
 class Duty:
     """Hold a duty through a key in the store bound to the lease.
 
-    The revision that created the key is the fencing token: it only rises.
+    The revision at which the key was written is the fencing token: it only rises.
     """
 
     def __init__(
@@ -112,7 +112,6 @@
     ) -> None:
         self.key = key
         self.holder = holder
-        self.taken_at = -math.inf
         self._store = store
         self._keeper = keeper
         self._clock = clock
@@ -124,6 +123,11 @@
         """Tell whether the duty is held for certain."""
         return self._token > 0 and self._keeper.runs
 
+    @property
+    def was_held(self) -> bool:
+        """Tell whether the duty was taken and the lease has run out since."""
+        return self._token > 0 and not self._keeper.runs
+
     def use_token(self) -> int:
         """Return the fencing token.
 
@@ -133,21 +137,34 @@
             raise DutyLost(f"the lease of {self.key} has run out")
         return self._token
 
-    async def take(self) -> None:
-        """Create the key where it is absent.
+    def may_replace(self, item: Item) -> bool:
+        """Tell whether a key was written by an earlier process of this instance.
+
+        That process has ended, since an instance runs one at a time.
+        """
+        holder = item.value.decode("utf-8", "replace").split(" ")[0]
+        return holder == self.holder and item.value not in self._written
+
+    async def take(self, known: Item | None) -> None:
+        """Write the key where it is absent or as it is known.
 
+        :param known: the key as an earlier process of this instance left it.
         :raises DutyLost: where another instance holds the duty.
         :raises StoreUnavailable: where the store gives no answer; the key may exist or
             come to exist, and is then found by :meth:`recognize`.
         """
+        await self._write(known.revision if known is not None else 0)
+
+    async def _write(self, expected_revision: int) -> None:
         lease = await self._keeper.obtain()
         value = f"{self.holder} {secrets.token_hex(8)}".encode()
         self._written.add(value)
+        expected = [Expectation(self.key, expected_revision)]
         write = ItemWrite(self.key, value, lease)
         try:
-            token = await self._store.commit([Expectation(self.key, 0)], [write])
+            token = await self._store.commit(expected, [write])
         except StoreConflict as error:
-            raise DutyLost(f"{self.key} is held") from error
+            raise DutyLost(f"{self.key} is held by another") from error
         except LeaseLost as error:
             raise DutyLost("the lease has ended") from error
         self._hold(token)
@@ -157,12 +174,11 @@
         if item.value not in self._written or not self._keeper.runs:
             return False
         if not self.is_held:
-            self._hold(item.created)
+            self._hold(item.revision)
         return True
 
     def _hold(self, token: int) -> None:
         self._token = token
-        self.taken_at = self._clock()
         self._keeper.n_duties += 1
         extra = {"key": self.key, "token": token, "holder": self.holder}
         log.info("duty taken", extra=extra)
@@ -174,6 +190,7 @@
             log.info("duty dropped", extra=extra)
             self._keeper.n_duties -= 1
         self._token = 0
+        self._written.clear()
 
     async def renew_token(self) -> None:
         """Take a newer token, so that calls sent under the old one are refused.
@@ -182,11 +199,5 @@
         :raises StoreUnavailable: where the store gives no answer; the duty is dropped.
         """
         token = self.use_token()
-        self._written.clear()
         self.drop("a newer token is needed")
-        expected = [Expectation(self.key, token)]
-        try:
-            await self._store.commit(expected, deletes=[self.key])
-        except StoreConflict as error:
-            raise DutyLost(f"{self.key} has changed") from error
-        await self.take()
+        await self._write(token)
--- a/celeryfold/proxy/messages.py
+++ b/celeryfold/proxy/messages.py
@@ -41,20 +41,25 @@
 
     :param version: the configuration that the asker has.
     :param revision: the listing of upstreams that the asker has.
+    :param peers_digest: hash of the peers that the asker knows.
     """
 
     asker: Peer
     version: Generation
     revision: int
+    peers_digest: int
 
 
 class News(msgspec.Struct, frozen=True, array_like=True, tag="news"):
     """Answer with what the asker lacks.
 
     :param source: the configuration's bytes, or None where the asker has it.
+    :param store_age_s: how old the newest word of the store is that this rests on.
+    :param peers: those that the sender hears, empty where the asker knows the same.
     """
 
     me: Peer
+    store_age_s: float
     source: bytes | None
     listing: Listing | None
     samples: tuple[AgedSample, ...]
--- a/celeryfold/proxy/peers.py
+++ b/celeryfold/proxy/peers.py
@@ -4,11 +4,13 @@
 
 __all__ = ["PeerBook", "PeerNews"]
 
+import itertools
 import logging
 import random
 from collections.abc import Callable, Sequence
 
 import trio
+import xxhash
 
 from ..exceptions import CeleryfoldError
 from ..kernel.ids import InstanceId, PlaceId, ServiceId
@@ -24,11 +26,16 @@
 
 EXCHANGE_INTERVAL_S = 0.5
 EXCHANGE_TIMEOUT_S = 0.6
-N_ASKED_AT_ONCE = 3
+# Instances of other data centres are asked less often: those bytes are paid for.
+N_ROUNDS_TO_ASK_FAR = 2
+# Between regions a round trip takes 60 ms.
+ASK_ALL_TIMEOUT_S = 0.25
 # A peer that has not been heard for six exchanges holds no share of connections.
 ALIVE_S = 3.0
 # Long enough for an instance cut off from all others to find them again.
 FORGET_S = 30.0
+# Stands for never where ages of the store's word are compared.
+NEVER_HEARD_S = 1e6
 # A sample older than this serves no read and shows no primary.
 NEWS_SAMPLE_AGE_S = 3.0
 
@@ -90,11 +97,39 @@
         ]
         return sum(name < self.me.instance_id for name in names)
 
-    def list_addresses(self) -> list[str]:
-        """Return the addresses to ask: all known peers and the seeds."""
+    def list_watchers(self) -> list[InstanceId]:
+        """Return the instances that watch the store, one of each data centre."""
+        first: dict[PlaceId, InstanceId] = {}
+        for peer in [self.me, *self.list_alive()]:
+            known = first.get(peer.place, peer.instance_id)
+            first[peer.place] = min(known, peer.instance_id)
+        return sorted(first.values())
+
+    def choose_near(self) -> list[str]:
+        """Return the address of a peer of this data centre, if one is known."""
+        return self._choose(near=True)
+
+    def choose_far(self) -> list[str]:
+        """Return the address of a peer elsewhere, or of a seed nobody answered for."""
+        return self._choose(near=False)
+
+    def _choose(self, near: bool) -> list[str]:
         self._forget()
-        known = [entry.peer.address for entry in self._known.values()]
-        return list(dict.fromkeys([*known, *self._seeds]))
+        known = [entry.peer for entry in self._known.values()]
+        fitting = [p.address for p in known if (p.place == self.me.place) is near]
+        if not near:
+            addresses = {peer.address for peer in known}
+            fitting += [seed for seed in self._seeds if seed not in addresses]
+        return [random.choice(fitting)] if fitting else []
+
+    def list_heard_addresses(self) -> list[str]:
+        """Return the addresses of all peers that are alive."""
+        return [peer.address for peer in self.list_alive()]
+
+    def digest(self) -> int:
+        """Return a hash of the peers that are known."""
+        names = sorted([self.me.instance_id, *self._known])
+        return xxhash.xxh32_intdigest("|".join(names).encode())
 
     def _forget(self) -> None:
         oldest = self._clock() - FORGET_S
@@ -137,24 +172,43 @@
         self._decode_table = decode_table
         self._clock = clock
         self._metrics = metrics
+        self._store_heard_at = clock() - NEVER_HEARD_S
         link.on(AskNews, self._answer)
 
     async def run(self) -> None:
-        """Ask a few peers at each interval, until cancelled."""
-        while True:
-            addresses = self._book.list_addresses()
-            chosen = random.sample(addresses, min(N_ASKED_AT_ONCE, len(addresses)))
+        """Ask a peer nearby and now and then one elsewhere, until cancelled."""
+        for number in itertools.count():
+            chosen = self._book.choose_near()
+            if not chosen or number % N_ROUNDS_TO_ASK_FAR == 0:
+                chosen += self._book.choose_far()
             async with trio.open_nursery() as nursery:
                 for address in chosen:
                     nursery.start_soon(self._ask, address)
                 await trio.sleep(EXCHANGE_INTERVAL_S)
 
+    async def ask_all(self) -> None:
+        """Ask all peers that are alive at once, for no longer than a moment."""
+        with trio.move_on_after(ASK_ALL_TIMEOUT_S):
+            async with trio.open_nursery() as nursery:
+                for address in self._book.list_heard_addresses():
+                    nursery.start_soon(self._ask, address)
+
+    @property
+    def store_age_s(self) -> float:
+        """How old the newest word of the store is, our own or through peers."""
+        return self._clock() - self._store_heard_at
+
+    def hear_store(self) -> None:
+        """Note that the store has just answered this instance."""
+        self._store_heard_at = self._clock()
+
     async def _ask(self, address: str) -> None:
         asked_at = self._clock()
         question = AskNews(
             asker=self._book.me,
             version=self._routes.version,
             revision=self._directory.listing.revision,
+            peers_digest=self._book.digest(),
         )
         try:
             news = await self._link.request(address, question, EXCHANGE_TIMEOUT_S)
@@ -168,6 +222,8 @@
         self._book.hear(news.me)
         for peer in news.peers:
             self._book.suggest(peer)
+        heard_at = asked_at - news.store_age_s
+        self._store_heard_at = max(self._store_heard_at, heard_at)
         if news.source is not None:
             table = self._decode_table(news.source)
             self._routes.adopt(table, news.source, f"peer {news.me.instance_id}")
@@ -181,12 +237,14 @@
         self._book.hear(question.asker)
         has_newer_table = self._routes.version > question.version
         listing = self._directory.listing
+        knows_peers = self._book.digest() == question.peers_digest
         return News(
             me=self._book.me,
+            store_age_s=self.store_age_s,
             source=self._routes.source if has_newer_table else None,
             listing=listing if listing.revision > question.revision else None,
             samples=tuple(self._list_samples()),
-            peers=tuple(self._book.list_alive()),
+            peers=() if knows_peers else tuple(self._book.list_alive()),
         )
 
     def _list_samples(self) -> list[AgedSample]:
--- a/celeryfold/proxy/pool.py
+++ b/celeryfold/proxy/pool.py
@@ -49,6 +49,10 @@
 DURATION_WEIGHT = 0.1
 DURATION_KEPT_S = 3.0
 FIRST_DURATION_S = 0.010
+# A free connection that was not needed for so long is closed, but for one: after a
+# loss of all instances the upstream holds their connections for seconds, and new ones
+# have to fit in beside them.
+IDLE_KEPT_S = 3.0
 # An upstream answers an undo at once or not at all.
 ROLLBACK_TIMEOUT_S = 1.0
 
@@ -372,6 +376,12 @@
             return
         self._idle.append(pooled)
 
+    def trim(self) -> None:
+        """Close connections that have been free for long; the last used one stays."""
+        oldest = self._clock() - IDLE_KEPT_S
+        while len(self._idle) > 1 and self._idle[0].answered_at < oldest:
+            self._discard(self._idle.pop(0))
+
     def _discard(self, pooled: PooledConnection) -> None:
         self._n_open -= 1
         assert self._nursery is not None
--- a/celeryfold/proxy/pools.py
+++ b/celeryfold/proxy/pools.py
@@ -86,6 +86,7 @@
                 known = self._make(upstream)
             known.upstream = upstream
             known.limit = self._find_limit(upstream)
+            known.trim()
 
     def _make(self, upstream: Upstream) -> Pool:
         assert self._nursery is not None
--- a/celeryfold/proxy/runner.py
+++ b/celeryfold/proxy/runner.py
@@ -28,6 +28,9 @@
 # Who cannot be given to an upstream within this part of its target is refused, so that
 # the client can come back while that still helps.
 WAIT_SHARE = 0.25
+# How long a change of primary takes from the last sign of life of the old one: a second
+# until it is suspected, up to another until the new one leads.
+CHANGE_S = 2.2
 # A connection that rested longer is tried with an empty transaction before a write.
 RESTED_S = 1.0
 # The empty transaction is answered in a round trip or not at all.
@@ -100,10 +103,13 @@
     async def wait_leader(self, call: Call) -> Pool:
         """Return the pool of the service's primary, once there is one.
 
+        A call that can still be served after the change of primary that is under way
+        waits for it; others are refused at once.
+
         :raises RequestFailure: where none is known in time.
         """
         service = call.route.service
-        with trio.move_on_after(self.find_wait_s(call)):
+        with trio.move_on_after(self._find_change_s(call)):
             while True:
                 pool = self.router.find_leader(service)
                 if pool is not None:
@@ -111,9 +117,18 @@
                 await self.samples.wait_newer(service)
         newest = self.samples.newest(service)
         age_ms = (self.clock() - newest.taken_at) * 1000 if newest else -1.0
-        self.log_refusal(call, "no primary is known", sample_age_ms=age_ms)
+        self.log_refusal(call, "no primary is known", sample_age_ms=round(age_ms))
         raise RequestFailure(ErrorKind.NO_PRIMARY, "no primary is known; come back")
 
+    def _find_change_s(self, call: Call) -> float:
+        """Return how long it makes sense to wait for a primary."""
+        newest = self.samples.newest(call.route.service)
+        if newest is None:
+            return self.find_wait_s(call)
+        change_s = newest.taken_at + CHANGE_S - self.clock()
+        left_s = remaining_s(call, self.clock)
+        return change_s if 0 < change_s < left_s else 0.0
+
     async def check(self, pool: Pool, pooled: PooledConnection, call: Call) -> None:
         """Try a connection that rested with an empty transaction.
 
--- a/celeryfold/proxy/sampler.py
+++ b/celeryfold/proxy/sampler.py
@@ -23,7 +23,7 @@
 SAMPLE_INTERVAL_S = 0.4
 # How long to look for a primary between two rounds when none is known.
 SEARCH_INTERVAL_S = 0.15
-SAMPLE_TIMEOUT_S = 0.7
+SAMPLE_TIMEOUT_S = 0.5
 ACQUIRE_TIMEOUT_S = 0.3
 SAMPLE_PRIORITY = -1
 
@@ -96,8 +96,10 @@
                     nursery.start_soon(self._ask, pool)
 
     def _list_candidates(self, service: ServiceId) -> list[Upstream]:
-        """Return who may lead: those that claim it, or else all."""
+        """Return who may lead: those that claim it at first, all after a loss."""
         listed = self._directory.list_service(service)
+        if self._samples.newest(service) is not None:
+            return listed
         claiming = [u for u in listed if u.claimed_role is UpstreamRole.PRIMARY]
         refused = [u for u in claiming if self._samples.has_refused(u)]
         return listed if len(refused) == len(claiming) else claiming
--- a/celeryfold/proxy/samples.py
+++ b/celeryfold/proxy/samples.py
@@ -24,6 +24,9 @@
 SAMPLE_SPACING_S = 0.1
 
 
+# Without a sign of life for longer a primary gets no statements: they would end without
+# a known outcome. Three sample intervals.
+LEADER_KEPT_S = 1.2
 # An upstream that said it does not lead is not asked first for this long.
 REFUSAL_KEPT_S = 1.0
 
@@ -106,10 +109,10 @@
         return self._services[service].newest
 
     def find_leader(self, service: ServiceId) -> UpstreamId | None:
-        """Return the upstream that led last, unless it said since that it does not."""
+        """Return the upstream that led lately and has not denied it since."""
         evidence = self._services[service]
         newest = evidence.newest
-        if newest is None:
+        if newest is None or self._clock() - newest.taken_at > LEADER_KEPT_S:
             return None
         if evidence.refused_at.get(newest.upstream, -1.0) > newest.taken_at:
             return None
--- /dev/null
+++ b/celeryfold/proxy/tests/test_failover.py
@@ -0,0 +1,271 @@
+"""A primary that is lost is replaced without losing what was acknowledged."""
+
+from __future__ import annotations
+
+import msgspec
+import trio
+
+from celeryfold.kernel.errors import ErrorKind
+from celeryfold.kernel.ids import InstanceId, Position, Term, UpstreamId
+from celeryfold.proxy.routes import Consistency
+from celeryfold.proxy.statements import Read, Write
+from celeryfold.proxy.upstream import UpstreamRole
+from celeryfold.standins.proxies import ProxyWorld
+
+from .test_sessions import get_kind, play
+
+PRIMARY = Consistency.PRIMARY
+FIRST = UpstreamId("orders-0")
+SECOND = UpstreamId("orders-1")
+THIRD = UpstreamId("orders-2")
+
+
+async def wait_written(world: ProxyWorld, number: int, within_s: float) -> float:
+    """Write until it succeeds; return how long that took."""
+    started_at = trio.current_time()
+    while trio.current_time() - started_at < within_s:
+        session = world.open_session(number, PRIMARY)
+        answer = await world.run(session, Write("wait 1"))
+        if answer.error is None:
+            return trio.current_time() - started_at
+        await trio.sleep(0.1)
+    raise AssertionError("no write succeeded in time")
+
+
+def find_leader_id(world: ProxyWorld) -> UpstreamId:
+    leader = world.replicas.find_leader()
+    assert leader is not None
+    return leader.upstream.upstream_id
+
+
+def check_nothing_lost(world: ProxyWorld) -> None:
+    assert not world.replicas.lost
+    leader = world.replicas.find_leader()
+    assert leader is not None
+    kept = {entry.position for entry in leader.log}
+    assert all(e.position in kept for _, e in world.replicas.acknowledged)
+
+
+def test_a_silent_primary_is_replaced():
+    async def story(world: ProxyWorld) -> None:
+        session = world.open_session(0, PRIMARY)
+        for number in range(5):
+            await world.run(session, Write(f"a {number}"))
+        world.replicas.crash(FIRST, is_silent=True)
+        assert await wait_written(world, 1, 10.0) < 5.0
+        read = await world.run(world.open_session(2, PRIMARY), Read("a"))
+        assert read.rows == ("4",)
+        await trio.sleep(1.0)
+        world.replicas.revive(FIRST)
+        await trio.sleep(3.0)
+        await wait_written(world, 0, 1.0)
+        assert find_leader_id(world) != FIRST
+
+    world = play(story)
+    check_nothing_lost(world)
+    assert len(world.replicas.promotions) == 1
+
+
+def test_the_replica_that_received_most_is_promoted():
+    """One replica hears nothing while commits are acknowledged by the other."""
+
+    async def story(world: ProxyWorld) -> None:
+        world.replicas.databases[SECOND].is_deaf = True
+        session = world.open_session(0, PRIMARY)
+        for number in range(5):
+            await world.run(session, Write(f"a {number}"))
+        world.replicas.crash(FIRST)
+        world.replicas.databases[SECOND].is_deaf = False
+        await wait_written(world, 1, 10.0)
+        assert find_leader_id(world) == THIRD
+
+    check_nothing_lost(play(story))
+
+
+def test_a_replica_that_may_hold_the_only_copy_is_waited_for():
+    """The only replica that acknowledged is down with the primary; its entry lapses."""
+
+    async def story(world: ProxyWorld) -> None:
+        world.replicas.databases[SECOND].is_deaf = True
+        session = world.open_session(0, PRIMARY)
+        for number in range(5):
+            await world.run(session, Write(f"a {number}"))
+        world.replicas.crash(THIRD)
+        world.replicas.crash(FIRST)
+        await trio.sleep(8.0)
+        assert not world.replicas.promotions
+        world.replicas.databases[SECOND].is_deaf = False
+        world.replicas.revive(THIRD)
+        await wait_written(world, 1, 10.0)
+        assert find_leader_id(world) == THIRD
+
+    check_nothing_lost(play(story))
+
+
+def test_a_replica_that_came_back_empty_is_not_taken_for_the_old_one():
+    """It acknowledged, then lost its log, and the other replica lags behind."""
+
+    async def story(world: ProxyWorld) -> None:
+        world.replicas.databases[SECOND].is_deaf = True
+        session = world.open_session(0, PRIMARY)
+        for number in range(5):
+            await world.run(session, Write(f"a {number}"))
+        third = world.replicas.databases[THIRD]
+        third.is_deaf = True
+        world.replicas.crash(THIRD)
+        reborn = msgspec.structs.replace(third.upstream, born_ms=2)
+        third.upstream = reborn
+        world.replicas.revive(THIRD, is_empty=True)
+        await trio.sleep(3.0)
+        world.replicas.crash(FIRST)
+        await trio.sleep(6.0)
+        assert not world.replicas.promotions
+        third.is_deaf = False
+        world.replicas.revive(FIRST)
+        await wait_written(world, 1, 10.0)
+        assert find_leader_id(world) == FIRST
+
+    check_nothing_lost(play(story))
+
+
+def test_a_replica_that_left_is_dropped_once_another_caught_up():
+    async def story(world: ProxyWorld) -> None:
+        session = world.open_session(0, PRIMARY)
+        await world.run(session, Write("a 1"))
+        world.replicas.crash(THIRD)
+        await trio.sleep(10.0)
+        await world.run(session, Write("a 2"))
+        world.replicas.crash(FIRST)
+        await trio.sleep(5.0)
+        assert find_leader_id(world) == SECOND
+        world.replicas.revive(FIRST)
+        await wait_written(world, 1, 10.0)
+
+    check_nothing_lost(play(story))
+
+
+def test_a_primary_that_leaves_hands_over_what_it_has():
+    async def story(world: ProxyWorld) -> None:
+        session = world.open_session(0, PRIMARY)
+        await world.run(session, Write("a 1"))
+        first = world.replicas.databases[FIRST]
+        first.upstream = msgspec.structs.replace(first.upstream, is_leaving=True)
+        await trio.sleep(2.0)
+        await wait_written(world, 0, 3.0)
+        assert find_leader_id(world) != FIRST
+        assert first.role is UpstreamRole.REPLICA
+
+    world = play(story)
+    check_nothing_lost(world)
+    assert len(world.replicas.promotions) == 1
+
+
+def test_a_promotion_without_an_answer_is_settled_before_another():
+    async def story(world: ProxyWorld) -> None:
+        world.replicas.n_promotions_to_lose = 1
+        world.replicas.crash(FIRST)
+        await wait_written(world, 1, 10.0)
+
+    world = play(story)
+    check_nothing_lost(world)
+    assert len({upstream for _, _, _, upstream in world.replicas.promotions}) == 1
+
+
+def test_a_guardian_that_dies_with_the_primary_is_replaced():
+    async def story(world: ProxyWorld) -> None:
+        guardian = world.find_guardian()
+        assert guardian is not None
+        world.kill(guardian)
+        world.replicas.crash(FIRST, is_silent=True)
+        other = (guardian + 1) % 3
+        await wait_written(world, other, 15.0)
+
+    world = play(story)
+    check_nothing_lost(world)
+    assert len({holder for _, holder, _, _ in world.replicas.promotions}) == 1
+
+
+def test_a_guardian_cut_off_from_the_primary_alone_promotes_nothing():
+    async def story(world: ProxyWorld) -> None:
+        guardian = world.find_guardian()
+        assert guardian is not None
+        world.replicas.cut(f"instance-{guardian}", FIRST)
+        await trio.sleep(8.0)
+        other = (guardian + 1) % 3
+        await wait_written(world, other, 1.0)
+
+    world = play(story)
+    assert not world.replicas.promotions
+
+
+def test_members_written_by_someone_else_do_not_end_the_instance():
+    """An earlier holder's late write takes the key's revision away meanwhile."""
+
+    async def story(world: ProxyWorld) -> None:
+        key = f"celeryfold/members/{world.service}"
+        real_commit = world.store.commit
+
+        async def commit(expected, writes=(), deletes=()):
+            if any(write.key == key for write in writes):
+                world.store.write(key, b"[]")
+            return await real_commit(expected, writes, deletes)
+
+        world.store.commit = commit  # type: ignore[method-assign]
+        third = world.replicas.databases[THIRD]
+        third.upstream = msgspec.structs.replace(third.upstream, born_ms=5)
+        await trio.sleep(4.0)
+        world.store.commit = real_commit  # type: ignore[method-assign]
+        world.replicas.crash(FIRST)
+        await wait_written(world, 1, 10.0)
+
+    check_nothing_lost(play(story))
+
+
+def test_a_deposed_primary_that_still_answers_gives_no_old_reads():
+    """One instance goes on reaching the old primary after another has been promoted."""
+
+    async def story(world: ProxyWorld) -> None:
+        await world.run(world.open_session(0, PRIMARY), Write("a old"))
+        first = world.replicas.databases[FIRST]
+        first.is_deaf = True
+        for number in (1, 2):
+            world.replicas.cut(f"instance-{number}", FIRST)
+        guardian = world.find_guardian()
+        world.replicas.cut(f"instance-{guardian}", FIRST)
+        await world.replicas.promote(world.service, SECOND, InstanceId("test"), 1)
+        await trio.sleep(2.0)
+        await wait_written(world, 1, 5.0)
+        await world.run(world.open_session(1, PRIMARY), Write("a new"))
+        for number in range(3):
+            read = await world.run(world.open_session(number, PRIMARY), Read("a"))
+            assert read.rows == ("new",) or get_kind(read) is not None
+
+    play(story)
+
+
+def test_what_no_upstream_can_serve_is_refused_soon_and_as_not_run():
+    async def story(world: ProxyWorld) -> None:
+        for name in world.replicas.databases:
+            world.replicas.crash(name)
+        await trio.sleep(4.0)
+        for consistency in Consistency:
+            started_at = trio.current_time()
+            read = await world.run(world.open_session(0, consistency), Read("a"))
+            assert get_kind(read) in (ErrorKind.NO_PRIMARY, ErrorKind.NOT_RUN)
+            assert trio.current_time() - started_at < 0.25
+        started_at = trio.current_time()
+        answer = await world.run(world.open_session(0, PRIMARY), Write("a 1"))
+        assert get_kind(answer) in (ErrorKind.NO_PRIMARY, ErrorKind.NOT_RUN)
+        assert trio.current_time() - started_at < 0.25
+
+    world = play(story)
+    assert not world.replicas.runs
+
+
+def test_positions_order_by_term_before_number():
+    from celeryfold.proxy.positions import LogPosition
+
+    old = LogPosition(Term(3), Position(900))
+    new = LogPosition(Term(4), Position(7))
+    assert old < new
+    assert str(new) == "4.7"
--- a/celeryfold/proxy/upstream.py
+++ b/celeryfold/proxy/upstream.py
@@ -99,9 +99,13 @@
 
 
 class ConnectFailure(Enum):
-    """Tell why no connection was opened."""
+    """Tell why no connection was opened.
+
+    REFUSED: the machine said that nothing listens, so the upstream does not run.
+    """
 
     UNREACHABLE = "unreachable"
+    REFUSED = "refused"
     TOO_MANY = "too_many_connections"
     WRONG_INSTANCE = "wrong_instance"
 
--- a/celeryfold/proxy/watcher.py
+++ b/celeryfold/proxy/watcher.py
@@ -6,6 +6,7 @@
 
 import logging
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 
 import trio
 
@@ -32,6 +33,7 @@
 RETRY_S = 0.4
 # Upstreams write all the time; a watch that hears nothing for longer is read anew.
 SILENCE_S = 4.0
+NOT_NEEDED_PAUSE_S = 0.5
 # A watch may miss changes that were dropped from the history while it was cut.
 RELIST_S = 10.0
 
@@ -55,7 +57,11 @@
 
 
 class StoreWatcher:
-    """Keep the routes, the directory and the known duty keys up to date."""
+    """Keep the routes, the directory and the known duty keys up to date.
+
+    :param is_needed: tells whether this instance shall watch; else it hears from peers.
+    :param note_heard: called whenever the store has answered.
+    """
 
     def __init__(
         self,
@@ -64,8 +70,12 @@
         routes: Routes,
         directory: Directory,
         metrics: Metrics,
+        is_needed: Callable[[], bool],
+        note_heard: Callable[[], None],
     ) -> None:
         self._store = store
+        self._is_needed = is_needed
+        self._note_heard = note_heard
         self._decoder = decoder
         self._routes = routes
         self._directory = directory
@@ -84,6 +94,11 @@
         """
         self._own_prefix = own_prefix
         while True:
+            if not self._is_needed():
+                self._as_of = 0
+                self.is_connected = False
+                await trio.sleep(NOT_NEEDED_PAUSE_S)
+                continue
             try:
                 await self._step()
             except StoreUnavailable as error:
@@ -190,3 +205,4 @@
         if not self.is_connected:
             log.info("store reached", extra={"as_of": self._as_of})
         self.is_connected = True
+        self._note_heard()
--- /dev/null
+++ b/celeryfold/standins/coordination.py
@@ -0,0 +1,182 @@
+"""The platform's store in memory: revisions, leases, watches and faults."""
+
+from __future__ import annotations
+
+__all__ = ["MemoryStore"]
+
+from collections import Counter
+from collections.abc import Sequence
+
+import trio
+
+from ..kernel.ids import LeaseId
+from ..proxy.store import (
+    Change,
+    Changes,
+    CoordinationStore,
+    Expectation,
+    HistoryLost,
+    Item,
+    ItemWrite,
+    Lease,
+    LeaseLost,
+    Listed,
+    StoreConflict,
+    StoreRefused,
+    StoreUnavailable,
+)
+
+
+class MemoryStore(CoordinationStore):
+    """Hold items; each fault is switched on by an attribute.
+
+    :param answer_s: how long each answer takes, seconds.
+    """
+
+    def __init__(self, answer_s: float = 0.004) -> None:
+        self.answer_s = answer_s
+        self.is_down = False
+        self.is_silent = False
+        self.n_answers_to_lose = 0
+        self.calls: Counter[str] = Counter()
+        self.items: dict[str, Item] = {}
+        self.revision = 1
+        self._history: list[Change] = []
+        self._forgotten = 0
+        self._leases: dict[LeaseId, tuple[float, float]] = {}
+        self._lease_of: dict[str, LeaseId] = {}
+        self._changed = trio.Event()
+
+    def write(self, key: str, value: bytes, lease: LeaseId | None = None) -> int:
+        """Write a key as an operator or an upstream does."""
+        self.revision += 1
+        known = self.items.get(key)
+        created = known.created if known else self.revision
+        item = Item(key, value, self.revision, created)
+        self.items[key] = item
+        if lease is not None:
+            self._lease_of[key] = lease
+        else:
+            self._lease_of.pop(key, None)
+        self._note(Change(key, self.revision, item))
+        return self.revision
+
+    def delete(self, key: str) -> None:
+        """Delete a key."""
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            self._lease_of.pop(key, None)
+            self._note(Change(key, self.revision, None))
+
+    def forget_history(self) -> None:
+        """Drop all history, as a compaction does."""
+        self._history = []
+        self._forgotten = self.revision
+
+    def _note(self, change: Change) -> None:
+        self._history.append(change)
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def _expire(self) -> None:
+        now = trio.current_time()
+        for lease, (until, _) in list(self._leases.items()):
+            if until <= now:
+                self._drop_lease(lease)
+
+    def _drop_lease(self, lease: LeaseId) -> None:
+        self._leases.pop(lease, None)
+        for key in [k for k, bound in self._lease_of.items() if bound == lease]:
+            self.delete(key)
+
+    async def _answer(self, kind: str) -> None:
+        self.calls[kind] += 1
+        await trio.sleep(self.answer_s)
+        if self.is_silent:
+            await trio.sleep(1.0)
+            raise StoreUnavailable("no answer")
+        if self.is_down:
+            raise StoreRefused("the store is down")
+        self._expire()
+
+    def _lose_answer(self) -> None:
+        if self.n_answers_to_lose:
+            self.n_answers_to_lose -= 1
+            raise StoreUnavailable("the answer was lost")
+
+    async def get(self, key: str) -> Item | None:
+        """Return an item."""
+        await self._answer("get")
+        return self.items.get(key)
+
+    async def list_items(self, prefix: str) -> Listed:
+        """Return all items below a prefix."""
+        await self._answer("range")
+        found = tuple(i for k, i in sorted(self.items.items()) if k.startswith(prefix))
+        return Listed(found, self.revision)
+
+    async def watch(self, prefix: str, after: int, wait_s: float) -> Changes:
+        """Return what changed after a revision."""
+        await self._answer("watch")
+        if after < self._forgotten:
+            raise HistoryLost("compacted")
+        with trio.move_on_after(wait_s):
+            while not self._find(prefix, after):
+                await self._changed.wait()
+        self._expire()
+        if self.is_down or self.is_silent:
+            raise StoreUnavailable("the watch was cut")
+        return Changes(tuple(self._find(prefix, after)), self.revision)
+
+    def _find(self, prefix: str, after: int) -> list[Change]:
+        return [
+            change
+            for change in self._history
+            if change.revision > after and change.key.startswith(prefix)
+        ]
+
+    async def commit(
+        self,
+        expected: Sequence[Expectation],
+        writes: Sequence[ItemWrite] = (),
+        deletes: Sequence[str] = (),
+    ) -> int:
+        """Write all or nothing."""
+        await self._answer("txn")
+        for expectation in expected:
+            item = self.items.get(expectation.key)
+            if (item.revision if item else 0) != expectation.revision:
+                raise StoreConflict(f"{expectation.key} has moved on")
+        for write in writes:
+            if write.lease is not None and write.lease not in self._leases:
+                raise LeaseLost("no such lease")
+        for write in writes:
+            self.write(write.key, write.value, write.lease)
+        for key in deletes:
+            self.delete(key)
+        self._lose_answer()
+        return self.revision
+
+    async def grant_lease(self, ttl_s: float) -> Lease:
+        """Start a lease."""
+        await self._answer("lease")
+        self.revision += 1
+        lease = LeaseId(self.revision)
+        self._leases[lease] = (trio.current_time() + ttl_s, ttl_s)
+        return Lease(lease, ttl_s)
+
+    async def renew_lease(self, lease: LeaseId) -> None:
+        """Renew a lease."""
+        await self._answer("keep")
+        if lease not in self._leases:
+            raise LeaseLost("no such lease")
+        _, ttl_s = self._leases[lease]
+        self._leases[lease] = (trio.current_time() + ttl_s, ttl_s)
+
+    async def end_lease(self, lease: LeaseId) -> None:
+        """End a lease."""
+        await self._answer("end")
+        self._drop_lease(lease)
+
+    async def close(self) -> None:
+        """Close nothing: the store is in memory."""
--- /dev/null
+++ b/celeryfold/standins/proxies.py
@@ -0,0 +1,212 @@
+"""Instances of the proxy in one process, before databases and a store in memory."""
+
+from __future__ import annotations
+
+__all__ = ["MemoryDecoder", "ProxyWorld", "make_table"]
+
+from collections.abc import Sequence
+from typing import NoReturn
+
+import msgspec
+import trio
+
+from ..exceptions import BadInput
+from ..kernel.ids import (
+    Generation,
+    InstanceId,
+    PlaceId,
+    RegionId,
+    RequestId,
+    ServiceId,
+    UpstreamId,
+)
+from ..kernel.metrics import Metrics
+from ..proxy.calls import Answer
+from ..proxy.instance import Platform, ProxyInstance, ProxySettings
+from ..proxy.routes import Consistency, Route, RouteTable, ServiceRules
+from ..proxy.session import Session
+from ..proxy.statements import Statement
+from ..proxy.upstream import Connector, Upstream, UpstreamConnection
+from ..proxy.watcher import EntryDecoder
+from .coordination import MemoryStore
+from .local import LocalLink
+from .network import LocalNetwork, NetworkShape
+from .replicas import ReplicaSet
+
+HEARTBEAT_S = 1.2
+LAPSE_S = 3.6
+START_S = 3.0
+
+
+class MemoryDecoder(EntryDecoder):
+    """Decode entries that hold the project's own types."""
+
+    upstream_prefix = "upstreams/"
+    table_key = "table"
+
+    def decode_upstream(self, upstream_id: UpstreamId, value: bytes) -> Upstream | None:
+        """Return the upstream in an entry."""
+        try:
+            return msgspec.json.decode(value, type=Upstream)
+        except msgspec.DecodeError:
+            return None
+
+    def decode_table(self, value: bytes) -> RouteTable:
+        """Return the configuration in an entry."""
+        try:
+            return msgspec.json.decode(value, type=RouteTable)
+        except msgspec.DecodeError as error:
+            raise BadInput(f"table: {error}") from error
+
+
+def make_table(version: int, services: Sequence[ServiceId]) -> RouteTable:
+    """Return a table with a route of each consistency to each service."""
+    routes = {}
+    for service in services:
+        for consistency in Consistency:
+            database = f"{service}-{consistency.value}"
+            routes[database] = Route(
+                database=database,
+                service=service,
+                consistency=consistency,
+                max_staleness_s=1.5,
+                statement_timeout_s=0.8,
+                target_s=0.8,
+                priority=1,
+            )
+    rules = {service: ServiceRules(16, 1) for service in services}
+    return RouteTable(Generation(version), routes, rules)
+
+
+class _CallerConnector(Connector):
+    """Connect one instance, so that it can be cut off from single databases."""
+
+    def __init__(self, replicas: ReplicaSet, caller: str) -> None:
+        self._replicas = replicas
+        self._caller = caller
+
+    async def connect(self, upstream: Upstream) -> UpstreamConnection:
+        """Open a connection."""
+        return await self._replicas.open(upstream, self._caller)
+
+
+def _make_no_channel(stream: trio.SocketStream) -> NoReturn:
+    raise BadInput("sessions are opened without sockets here")
+
+
+class ProxyWorld:
+    """Run instances, a replicated database and the store, all in memory.
+
+    :param n_instances: instances, each in a data centre of its own in turn.
+    """
+
+    def __init__(self, n_instances: int = 3, n_databases: int = 3) -> None:
+        self.service = ServiceId("orders")
+        self.store = MemoryStore()
+        self.replicas = ReplicaSet(self.service, n_databases)
+        self.instances: list[ProxyInstance] = []
+        self._n_instances = n_instances
+        self._n_requests = 0
+        self._scopes: dict[InstanceId, trio.CancelScope] = {}
+        self._links: dict[str, LocalLink] = {}
+        self._lapsed_at: dict[UpstreamId, float] = {}
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Start everything and wait until a primary is known."""
+        places = [PlaceId(f"place-{n}") for n in range(3)]
+        regions = {place: RegionId("region") for place in places}
+        self._regions = regions
+        self.network = LocalNetwork(NetworkShape(regions), nursery)
+        self._nursery = nursery
+        self.replicas.start(nursery)
+        self.publish(1)
+        nursery.start_soon(self._register)
+        for number in range(self._n_instances):
+            await self._start_instance(number, places[number % len(places)])
+        await trio.sleep(START_S)
+
+    def publish(self, version: int) -> None:
+        """Write a configuration."""
+        table = make_table(version, [self.service])
+        self.store.write(MemoryDecoder.table_key, msgspec.json.encode(table))
+
+    async def _register(self) -> None:
+        """Write the entries of living databases; those of dead ones lapse."""
+        while True:
+            if not self.store.is_down:
+                self._write_entries()
+            await trio.sleep(HEARTBEAT_S)
+
+    def _write_entries(self) -> None:
+        now = trio.current_time()
+        for upstream_id, database in self.replicas.databases.items():
+            key = f"{MemoryDecoder.upstream_prefix}{upstream_id}"
+            if database.is_alive:
+                self._lapsed_at[upstream_id] = now + LAPSE_S
+                upstream = msgspec.structs.replace(
+                    database.upstream, claimed_role=database.role
+                )
+                self.store.write(key, msgspec.json.encode(upstream))
+            elif now > self._lapsed_at.get(upstream_id, 0.0):
+                self.store.delete(key)
+
+    async def _start_instance(self, number: int, place: PlaceId) -> None:
+        instance_id = InstanceId(f"instance-{number}")
+        self.network.add(instance_id, place)
+        link = LocalLink(self.network, instance_id, self._links)
+        settings = ProxySettings(
+            instance_id=instance_id,
+            place=place,
+            regions=self._regions,
+            client_host="127.0.0.1",
+            client_port=0,
+            peer_address=instance_id,
+            seeds=("instance-0",),
+            grace_s=6.0,
+        )
+        platform = Platform(
+            store=self.store,
+            decoder=MemoryDecoder(),
+            connector=_CallerConnector(self.replicas, instance_id),
+            promotions=self.replicas,
+            make_channel=_make_no_channel,
+        )
+        instance = ProxyInstance(settings, platform, link, trio.current_time, Metrics())
+        self.instances.append(instance)
+        scope = self._scopes[instance_id] = trio.CancelScope()
+        self._nursery.start_soon(self._run_instance, instance, link, scope)
+
+    async def _run_instance(
+        self, instance: ProxyInstance, link: LocalLink, scope: trio.CancelScope
+    ) -> None:
+        with scope:
+            async with trio.open_nursery() as nursery:
+                link.nursery = nursery
+                await instance.start(nursery)
+
+    def kill(self, number: int) -> None:
+        """End an instance as a kill does."""
+        instance_id = InstanceId(f"instance-{number}")
+        self.network.cut(instance_id)
+        self._scopes[instance_id].cancel()
+
+    def find_guardian(self) -> int | None:
+        """Return the number of the instance that guards the service."""
+        item = self.store.items.get(f"celeryfold/duties/{self.service}")
+        if item is None:
+            return None
+        return int(item.value.decode().split(" ")[0].removeprefix("instance-"))
+
+    def open_session(self, number: int, consistency: Consistency) -> Session:
+        """Open a session at an instance."""
+        database = f"{self.service}-{consistency.value}"
+        return Session(database, self.instances[number])
+
+    async def run(self, session: Session, statement: Statement) -> Answer:
+        """Run a statement under an id of its own."""
+        return await session.run(self.make_request_id(), statement)
+
+    def make_request_id(self) -> RequestId:
+        """Return an id that no other request has."""
+        self._n_requests += 1
+        return RequestId(f"r{self._n_requests}")
