Hold calls for the first sample after a start, and leave them a moment for a connection

Change: 0.6 s for the first sample after a start, at least 0.1 s for a connection, free connections closed after 2 s.

--- a/celeryfold/proxy/pool.py
+++ b/celeryfold/proxy/pool.py
@@ -52,7 +52,7 @@
 # A free connection that was not needed for so long is closed, but for one: after a
 # loss of all instances the upstream holds their connections for seconds, and new ones
 # have to fit in beside them.
-IDLE_KEPT_S = 3.0
+IDLE_KEPT_S = 2.0
 # An upstream answers an undo at once or not at all.
 ROLLBACK_TIMEOUT_S = 1.0
 
--- a/celeryfold/proxy/runner.py
+++ b/celeryfold/proxy/runner.py
@@ -28,9 +28,13 @@
 # Who cannot be given to an upstream within this part of its target is refused, so that
 # the client can come back while that still helps.
 WAIT_SHARE = 0.25
+# Who waited for a change of primary still gets this long to wait for a connection.
+LEAST_WAIT_S = 0.1
 # How long a change of primary takes from the last sign of life of the old one: a second
 # until it is suspected, up to another until the new one leads.
 CHANGE_S = 2.2
+# An instance that has just started finds the primary within this.
+FIRST_SAMPLE_S = 0.6
 # A connection that rested longer is tried with an empty transaction before a write.
 RESTED_S = 1.0
 # The empty transaction is answered in a round trip or not at all.
@@ -73,7 +77,7 @@
         """Return how long a call may still wait before it is sent."""
         waited_s = self.clock() - call.arrived_at
         wait_s = call.route.target_s * WAIT_SHARE - waited_s
-        return max(min(wait_s, remaining_s(call, self.clock)), 0.0)
+        return min(max(wait_s, LEAST_WAIT_S), max(remaining_s(call, self.clock), 0.0))
 
     async def acquire(self, pool: Pool, call: Call) -> PooledConnection:
         """Lend a connection for a call.
@@ -124,7 +128,7 @@
         """Return how long it makes sense to wait for a primary."""
         newest = self.samples.newest(call.route.service)
         if newest is None:
-            return self.find_wait_s(call)
+            return min(FIRST_SAMPLE_S, max(remaining_s(call, self.clock), 0.0))
         change_s = newest.taken_at + CHANGE_S - self.clock()
         left_s = remaining_s(call, self.clock)
         return change_s if 0 < change_s < left_s else 0.0
