Let a pause that has ended not end the instance; test pools

Ruled out: a jump of the clock (no disruption there). Change: the pause is never below nothing; tests of the pool, that one failing first.

--- a/celeryfold/proxy/pool.py
+++ b/celeryfold/proxy/pool.py
@@ -276,7 +276,7 @@
             self._nursery.start_soon(self._retry)
 
     async def _retry(self) -> None:
-        await trio.sleep(self._retry_at - self._clock())
+        await trio.sleep(max(self._retry_at - self._clock(), 0.0))
         self._is_retry_planned = False
         self._open_for_waiters()
 
--- /dev/null
+++ b/celeryfold/proxy/tests/test_pool.py
@@ -0,0 +1,153 @@
+"""Pools hand connections on in a known state and never more than they may hold."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import pytest
+import trio
+import trio.testing
+
+from celeryfold.exceptions import RequestFailure
+from celeryfold.kernel.errors import ErrorKind
+from celeryfold.kernel.ids import ServiceId, UpstreamId
+from celeryfold.kernel.metrics import Metrics
+from celeryfold.proxy.pool import IDLE_KEPT_S, TOO_MANY_PAUSE_S, Pool, Recycled
+from celeryfold.standins.replicas import ReplicaSet
+
+FIRST = UpstreamId("orders-0")
+
+
+def play(
+    story: Callable[[Pool, ReplicaSet], Awaitable[None]],
+    limit: int = 2,
+    n_connections: int = 16,
+) -> None:
+    """Run a story with a pool for the first database, on a mock clock."""
+
+    async def run() -> None:
+        replicas = ReplicaSet(ServiceId("orders"), n_connections=n_connections)
+        upstream = replicas.databases[FIRST].upstream
+        pool = Pool(upstream, replicas, limit, trio.current_time, Metrics())
+        async with trio.open_nursery() as nursery:
+            replicas.start(nursery)
+            pool.start(nursery)
+            await story(pool, replicas)
+            nursery.cancel_scope.cancel()
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_no_more_connections_are_open_than_allowed():
+    async def story(pool: Pool, replicas: ReplicaSet) -> None:
+        most = 0
+
+        async def use() -> None:
+            nonlocal most
+            pooled = await pool.acquire({}, 1, 10.0)
+            most = max(most, pool.n_open)
+            await trio.sleep(0.01)
+            pool.release(pooled, Recycled.CLEAN)
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(30):
+                nursery.start_soon(use)
+        assert most == 2
+        assert replicas.n_opened == 2
+
+    play(story)
+
+
+def test_a_full_upstream_is_tried_again_after_a_pause():
+    """A waiter came when the pause had ended but its task had not yet run."""
+
+    async def story(pool: Pool, replicas: ReplicaSet) -> None:
+        others = [
+            await replicas.open(pool.upstream, "other")
+            for _ in range(replicas.n_connections)
+        ]
+        with pytest.raises(RequestFailure) as caught:
+            await pool.acquire({}, 1, 1.0)
+        assert caught.value.kind is ErrorKind.NOT_RUN
+        with pytest.raises(RequestFailure):
+            await pool.acquire({}, 1, TOO_MANY_PAUSE_S / 2)
+        await others[0].close()
+        pooled = await pool.acquire({}, 1, 1.0)
+        pool.release(pooled, Recycled.CLEAN)
+
+    play(story, n_connections=4)
+
+
+def test_a_pause_that_has_ended_does_not_end_the_instance():
+    async def story(pool: Pool, replicas: ReplicaSet) -> None:
+        pool._retry_at = trio.current_time() - 0.001
+        await pool._retry()
+
+    play(story)
+
+
+def test_a_refused_connection_fails_those_who_wait_at_once():
+    async def story(pool: Pool, replicas: ReplicaSet) -> None:
+        replicas.crash(FIRST)
+        started_at = trio.current_time()
+        with pytest.raises(RequestFailure) as caught:
+            await pool.acquire({}, 1, 5.0)
+        assert caught.value.kind is ErrorKind.NOT_RUN
+        assert trio.current_time() - started_at < 0.1
+        assert not pool.may_serve()
+        replicas.revive(FIRST)
+        await trio.sleep(0.3)
+        assert pool.may_serve()
+        pool.release(await pool.acquire({}, 1, 1.0), Recycled.CLEAN)
+
+    play(story)
+
+
+def test_a_connection_in_a_transaction_is_undone_before_it_is_lent_again():
+    async def story(pool: Pool, replicas: ReplicaSet) -> None:
+        from celeryfold.proxy.exchanges import exchange
+        from celeryfold.proxy.statements import Begin, Request
+
+        pooled = await pool.acquire({}, 1, 1.0)
+        await exchange(pool, pooled, [Request(Begin())], 1.0)
+        pool.release(pooled, Recycled.IN_TRANSACTION)
+        again = await pool.acquire({}, 1, 1.0)
+        [reply] = await exchange(pool, again, [Request(Begin())], 1.0)
+        assert reply.error is None
+        pool.release(again, Recycled.IN_TRANSACTION)
+
+    play(story, limit=1)
+
+
+def test_free_connections_are_closed_but_for_one():
+    async def story(pool: Pool, replicas: ReplicaSet) -> None:
+        lent = [await pool.acquire({}, 1, 1.0) for _ in range(4)]
+        for pooled in lent:
+            pool.release(pooled, Recycled.CLEAN)
+        pool.trim()
+        assert pool.n_open == 4
+        await trio.sleep(IDLE_KEPT_S + 0.1)
+        pool.trim()
+        assert pool.n_open == 1
+
+    play(story, limit=4)
+
+
+def test_the_most_urgent_is_served_first():
+    async def story(pool: Pool, replicas: ReplicaSet) -> None:
+        order: list[int] = []
+        held = await pool.acquire({}, 1, 1.0)
+
+        async def use(priority: int) -> None:
+            pooled = await pool.acquire({}, priority, 5.0)
+            order.append(priority)
+            pool.release(pooled, Recycled.CLEAN)
+
+        async with trio.open_nursery() as nursery:
+            for priority in (3, 1, 2):
+                nursery.start_soon(use, priority)
+            await trio.sleep(0.1)
+            pool.release(held, Recycled.CLEAN)
+        assert order == [1, 2, 3]
+
+    play(story, limit=1)
