--- a/celeryfold/commands/proxy.py
+++ b/celeryfold/commands/proxy.py
@@ -24,8 +24,8 @@
 from ..platform.settings import PlatformSettings, load_platform_settings
 from ..platform.store import HttpCoordinationStore
 from ..proxy.clock import read_boot_clock
+from ..proxy.codec import PEER_CODEC
 from ..proxy.instance import Platform, ProxyInstance
-from ..proxy.messages import PEER_CODEC
 from ..wire.client import split_address
 from ..wire.server import HttpServer
 
--- /dev/null
+++ b/celeryfold/proxy/codec.py
@@ -0,0 +1,11 @@
+"""The codec of all messages between instances of the proxy."""
+
+from __future__ import annotations
+
+__all__ = ["PEER_CODEC"]
+
+from ..links import MessageCodec
+from .home import HOME_CODEC_TYPES
+from .messages import AskNews, News
+
+PEER_CODEC = MessageCodec(AskNews | News | HOME_CODEC_TYPES)
--- a/celeryfold/proxy/exchanges.py
+++ b/celeryfold/proxy/exchanges.py
@@ -19,10 +19,18 @@
     """Not every reply came; the connection is closed.
 
     :param replies: those that came, of the first requests.
+    :param is_silence: whether nothing at all came from the upstream meanwhile.
     """
 
-    def __init__(self, ending: Ending, replies: list[Reply], text: str) -> None:
+    def __init__(
+        self,
+        ending: Ending,
+        replies: list[Reply],
+        text: str,
+        is_silence: bool = False,
+    ) -> None:
         super().__init__(text)
+        self.is_silence = is_silence
         self.ending = ending
         self.replies = replies
 
@@ -45,19 +53,20 @@
             await pooled.connection.send(requests)
             while len(replies) < len(requests):
                 reply = await pooled.connection.receive()
-                pool.note_reply(pooled, reply)
+                pool.note_reply(pooled)
                 replies.append(reply)
     except ConnectionLost as error:
         pool.release(pooled, Recycled.BROKEN)
         raise ExchangeFailed(Ending.LOST, replies, str(error)) from error
     except trio.TooSlowError as error:
         pool.release(pooled, Recycled.BROKEN)
-        if pool.answered_at == answered_at:
-            pool.note_silence()
+        is_silence = pool.answered_at == answered_at
+        if is_silence:
+            pool.drop_free()
         text = (
             f"{pool.upstream.upstream_id} did not answer in {timeout_s * 1000:.0f} ms"
         )
-        raise ExchangeFailed(Ending.TIMED_OUT, replies, text) from error
+        raise ExchangeFailed(Ending.TIMED_OUT, replies, text, is_silence) from error
     except BaseException:
         pool.release(pooled, Recycled.BROKEN)
         raise
--- a/celeryfold/proxy/guardian.py
+++ b/celeryfold/proxy/guardian.py
@@ -144,6 +144,11 @@
         self._ordered: Member | None = None
         self._are_paused: set[Member] = set()
 
+    @property
+    def is_on_duty(self) -> bool:
+        """Tell whether this instance guards the service now."""
+        return self._duty.is_held
+
     async def run(self) -> None:
         """Guard until cancelled."""
         while True:
@@ -213,8 +218,9 @@
         await self._take_up()
 
     def _find_rank(self) -> int:
-        watchers = self._ports.peers.list_watchers()
-        ranked = sorted(watchers, key=self._weigh, reverse=True)
+        watchers = self._ports.peers.find_watchers().values()
+        names = [watcher.instance_id for watcher in watchers]
+        ranked = sorted(names, key=self._weigh, reverse=True)
         if self._ports.me in ranked:
             return ranked.index(self._ports.me)
         return len(ranked)
@@ -331,7 +337,7 @@
     def _is_alone(self) -> bool:
         """Tell whether this instance hears no other, so that it may be cut off."""
         peers = self._ports.peers
-        if not peers.has_known() or peers.count_heard(PEERS_HEARD_S):
+        if not peers.has_known() or peers.has_heard(PEERS_HEARD_S):
             return False
         log.info("guardian hears no peer", extra={"service": self.service})
         return True
--- /dev/null
+++ b/celeryfold/proxy/home.py
@@ -0,0 +1,292 @@
+"""Homes: instances that hold an upstream's connections for others."""
+
+from __future__ import annotations
+
+__all__ = ["HOME_CODEC_TYPES", "HomeDoor", "RemoteLane"]
+
+import random
+import secrets
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from ..exceptions import CeleryfoldError, RequestFailure
+from ..kernel.errors import ErrorKind
+from ..kernel.ids import InstanceId, TransactionId, UpstreamId
+from ..kernel.metrics import Metrics
+from ..links import PeerLink
+from .answers import Ending
+from .clock import Clock
+from .exchanges import ExchangeFailed
+from .lanes import Batch, HeldConnection, Lane, NotRun, Work
+from .messages import Peer
+from .upstream import Reply, Upstream
+
+# What a request and its reply take between regions, and a little for both processes.
+LINK_MARGIN_S = 0.15
+# A home that did not reply is passed over for so long where there are others.
+HOME_AVOIDED_S = 1.5
+# A home ends transactions of entries that are gone; entries end those that rest sooner.
+ABANDONED_S = 6.0
+
+
+class RunAtHome(msgspec.Struct, frozen=True, array_like=True, tag="run_at_home"):
+    """Ask a home to run work on a connection of its own."""
+
+    upstream: UpstreamId
+    work: Work
+
+
+class RunHeld(msgspec.Struct, frozen=True, array_like=True, tag="run_held"):
+    """Ask a home to go on with a transaction."""
+
+    transaction: TransactionId
+    work: Work
+
+
+class AbandonHeld(msgspec.Struct, frozen=True, array_like=True, tag="abandon_held"):
+    """Ask a home to undo a transaction."""
+
+    transaction: TransactionId
+
+
+class HomeReply(msgspec.Struct, frozen=True, array_like=True, tag="home_reply"):
+    """Hold what a home has to say.
+
+    :param transaction: names the transaction that is open, empty where there is none.
+    :param not_run: why nothing ran, or None.
+    :param ending: why not every reply came, or None.
+    """
+
+    replies: tuple[Reply, ...] = ()
+    transaction: TransactionId = TransactionId("")
+    not_run: ErrorKind | None = None
+    ending: Ending | None = None
+    text: str = ""
+
+
+HOME_CODEC_TYPES = RunAtHome | RunHeld | AbandonHeld | HomeReply
+
+
+@dataclass
+class _Open:
+    held: HeldConnection
+    used_at: float
+
+
+class HomeDoor:
+    """Run the work of other instances on connections of this one.
+
+    :param find_lane: returns the local lane to an upstream, if there is one.
+    """
+
+    def __init__(
+        self,
+        link: PeerLink,
+        find_lane: Callable[[UpstreamId], Lane | None],
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self._find_lane = find_lane
+        self._clock = clock
+        self._metrics = metrics
+        self._open: dict[TransactionId, _Open] = {}
+        self._n_running = 0
+        link.on(RunAtHome, self._run)
+        link.on(RunHeld, self._run_held)
+        link.on(AbandonHeld, self._abandon)
+
+    @property
+    def n_busy(self) -> int:
+        """Statements that run here for others, and transactions that are open."""
+        return self._n_running + len(self._open)
+
+    async def _run(self, message: RunAtHome) -> HomeReply:
+        lane = self._find_lane(message.upstream)
+        if lane is None:
+            text = f"no connections to {message.upstream} are held here"
+            return HomeReply(not_run=ErrorKind.NOT_RUN, text=text)
+        self._metrics.count("home.served")
+        self._n_running += 1
+        try:
+            batch = await lane.run(message.work)
+        except NotRun as failure:
+            return HomeReply(not_run=failure.kind, text=failure.text)
+        except ExchangeFailed as failure:
+            return _describe(failure)
+        finally:
+            self._n_running -= 1
+        return HomeReply(tuple(batch.replies), self._keep(batch.held))
+
+    def _keep(self, held: HeldConnection | None) -> TransactionId:
+        if held is None:
+            return TransactionId("")
+        transaction = TransactionId(secrets.token_hex(8))
+        self._open[transaction] = _Open(held, self._clock())
+        return transaction
+
+    async def _run_held(self, message: RunHeld) -> HomeReply:
+        found = self._open.pop(message.transaction, None)
+        if found is None:
+            text = "the transaction is no longer open here"
+            return HomeReply(ending=Ending.LOST, text=text)
+        self._n_running += 1
+        try:
+            replies = await found.held.run(message.work)
+        except NotRun as failure:
+            return HomeReply(not_run=failure.kind, text=failure.text)
+        except ExchangeFailed as failure:
+            return _describe(failure)
+        finally:
+            self._n_running -= 1
+        if not found.held.is_over:
+            found.used_at = self._clock()
+            self._open[message.transaction] = found
+            return HomeReply(tuple(replies), message.transaction)
+        return HomeReply(tuple(replies))
+
+    async def _abandon(self, message: AbandonHeld) -> HomeReply:
+        found = self._open.pop(message.transaction, None)
+        if found is not None:
+            found.held.abandon()
+        return HomeReply()
+
+    def expire(self) -> None:
+        """Undo the transactions of entries that have not been heard for long."""
+        oldest = self._clock() - ABANDONED_S
+        for transaction, found in list(self._open.items()):
+            if found.used_at < oldest:
+                del self._open[transaction]
+                found.held.abandon()
+                self._metrics.count("home.abandoned")
+
+
+def _describe(failure: ExchangeFailed) -> HomeReply:
+    return HomeReply(tuple(failure.replies), ending=failure.ending, text=str(failure))
+
+
+class RemoteLane(Lane):
+    """The way to an upstream through its homes.
+
+    :param list_homes: returns the homes of the upstream that are alive.
+    :param spawn: runs a task whose end nobody waits for.
+    """
+
+    def __init__(
+        self,
+        upstream: Upstream,
+        link: PeerLink,
+        list_homes: Callable[[], Sequence[Peer]],
+        spawn: Callable[..., object],
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        super().__init__(upstream, clock)
+        self._link = link
+        self._list_homes = list_homes
+        self._spawn = spawn
+        self._metrics = metrics
+        self._avoided: dict[InstanceId, float] = {}
+        self._n_in_use = 0
+
+    @property
+    def n_in_use(self) -> int:
+        """Statements that this instance has sent to homes and that run or wait."""
+        return self._n_in_use
+
+    def may_serve(self) -> bool:
+        """Tell whether there is a home."""
+        return bool(self._list_homes())
+
+    async def run(self, work: Work) -> Batch:
+        """Run requests at a home."""
+        home = self._choose()
+        message = RunAtHome(self.upstream.upstream_id, work)
+        self._n_in_use += 1
+        try:
+            reply = await self.ask(home, message, work.wait_s + work.timeout_s)
+        finally:
+            self._n_in_use -= 1
+        held = None
+        if reply.transaction:
+            held = _RemoteHeld(self, home, reply.transaction)
+        return Batch(list(reply.replies), held)
+
+    def _choose(self) -> Peer:
+        """Return a home, one that replied lately where there is one."""
+        now = self._clock()
+        homes = self._list_homes()
+        fit = [h for h in homes if self._avoided.get(h.instance_id, 0.0) < now]
+        if not homes:
+            text = f"no home of {self.upstream.upstream_id} is known"
+            raise NotRun(ErrorKind.NOT_RUN, text)
+        return random.choice(fit or list(homes))
+
+    async def ask(self, home: Peer, message: Any, timeout_s: float) -> HomeReply:
+        """Return a home's reply, with replies to all requests.
+
+        :raises NotRun: nothing ran.
+        :raises ExchangeFailed: not every reply came.
+        """
+        asked_at = self._clock()
+        try:
+            reply = await self._link.request(
+                home.address, message, timeout_s + LINK_MARGIN_S
+            )
+        except RequestFailure as failure:
+            raise ExchangeFailed(Ending.LOST, [], failure.message) from failure
+        except CeleryfoldError as error:
+            self._avoided[home.instance_id] = self._clock() + HOME_AVOIDED_S
+            self._metrics.count("home.unanswered")
+            text = f"home {home.instance_id} did not reply"
+            raise ExchangeFailed(Ending.TIMED_OUT, [], text) from error
+        assert isinstance(reply, HomeReply)
+        if reply.not_run is not None:
+            raise NotRun(reply.not_run, reply.text)
+        if reply.ending is not None:
+            raise ExchangeFailed(reply.ending, list(reply.replies), reply.text)
+        self.note_duration(self._clock() - asked_at)
+        for answer in reply.replies:
+            self.note_position(answer.position)
+        return reply
+
+    def abandon(self, home: Peer, transaction: TransactionId) -> None:
+        """Have a home undo a transaction, without waiting for it."""
+        self._spawn(self._abandon, home, transaction)
+
+    async def _abandon(self, home: Peer, transaction: TransactionId) -> None:
+        try:
+            await self._link.request(
+                home.address, AbandonHeld(transaction), LINK_MARGIN_S
+            )
+        except CeleryfoldError:
+            # The home undoes it by itself after a while.
+            self._metrics.count("home.abandon_unanswered")
+
+
+class _RemoteHeld(HeldConnection):
+    def __init__(
+        self, lane: RemoteLane, home: Peer, transaction: TransactionId
+    ) -> None:
+        self._lane = lane
+        self._home = home
+        self._transaction = transaction
+        self._is_over = False
+
+    @property
+    def is_over(self) -> bool:
+        return self._is_over
+
+    async def run(self, work: Work) -> list[Reply]:
+        self._is_over = True
+        message = RunHeld(self._transaction, work)
+        reply = await self._lane.ask(self._home, message, work.timeout_s)
+        self._is_over = not reply.transaction
+        return list(reply.replies)
+
+    def abandon(self) -> None:
+        if not self._is_over:
+            self._is_over = True
+            self._lane.abandon(self._home, self._transaction)
--- a/celeryfold/proxy/instance.py
+++ b/celeryfold/proxy/instance.py
@@ -18,10 +18,11 @@
 from .directory import Directory
 from .door import ClientChannel, SessionDoor
 from .guardian import Guardian, GuardianPorts, Promotions
+from .home import HomeDoor
+from .lane_book import LaneBook
 from .leases import Duty, LeaseKeeper
 from .messages import Peer
 from .peers import PeerBook, PeerNews
-from .pools import PoolBook
 from .reads import ReadRunner
 from .routes import DEFAULT_TRANSACTION_IDLE_S, Route, Routes
 from .routing import Router
@@ -93,24 +94,27 @@
         self.directory = Directory(clock)
         self.samples = SampleBook(clock)
         me = Peer(settings.instance_id, settings.peer_address, settings.place)
-        self.peers = PeerBook(me, settings.seeds, clock)
-        self.pools = PoolBook(
+        self.peers = PeerBook(me, settings.seeds, settings.regions, clock)
+        self.lanes = LaneBook(
             platform.connector,
+            link,
             self.directory,
             self.routes,
+            self.peers,
+            self._estimate_distance_s,
             clock,
             metrics,
-            self._find_share,
         )
+        self.home = HomeDoor(link, self.lanes.find_local, clock, metrics)
         self.router = Router(
             settings.place,
             settings.regions,
             self.directory,
-            self.pools,
+            self.lanes,
             self.samples,
             clock,
         )
-        parts = (self.router, self.directory, self.samples, clock, metrics)
+        parts = (self.router, self.samples, clock, metrics)
         self.reads = ReadRunner(*parts)
         self.writes = WriteRunner(*parts)
         self.transactions = TransactionRunner(*parts)
@@ -134,7 +138,13 @@
             self.news.hear_store,
         )
         self.sampler = Sampler(
-            Runner(*parts), self.routes, self.directory, self.pools, clock, metrics
+            Runner(*parts),
+            self.routes,
+            self.directory,
+            self.lanes,
+            self._samples_for_all,
+            clock,
+            metrics,
         )
         self.keeper = LeaseKeeper(platform.store, clock)
         self.door = SessionDoor(
@@ -146,12 +156,12 @@
             clock,
             metrics,
         )
-        self._guarded: set[ServiceId] = set()
+        self._guardians: dict[ServiceId, Guardian] = {}
         self._guarding = trio.CancelScope()
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Take up all work."""
-        await self.pools.start(nursery)
+        await self.lanes.start(nursery)
         nursery.start_soon(self.watcher.run, KEY_PREFIX)
         nursery.start_soon(self.news.run)
         nursery.start_soon(self.sampler.run)
@@ -201,19 +211,30 @@
 
     def _must_watch(self) -> bool:
         """Tell whether to watch the store: one of a place, or who hears nothing new."""
-        if self.settings.instance_id in self.peers.list_watchers():
+        return self.peers.is_watcher() or self.news.store_age_s > STORE_AGE_S
+
+    def _samples_for_all(self, service: ServiceId) -> bool:
+        """Tell whether this instance samples a service for all others.
+
+        The guardian does, and the watcher of the primary's data centre.
+        """
+        guardian = self._guardians.get(service)
+        if guardian is not None and guardian.is_on_duty:
             return True
-        return self.news.store_age_s > STORE_AGE_S
+        newest = self.samples.newest(service)
+        leader = self.directory.find(newest.upstream) if newest else None
+        is_near = leader is not None and leader.place == self.settings.place
+        return is_near and self.peers.is_watcher()
 
-    def _find_share(self, upstream: Upstream) -> tuple[int, int]:
-        """Return among how many instances connections are divided, and our rank."""
-        return len(self.peers.list_alive()) + 1, self.peers.rank()
+    def _estimate_distance_s(self, upstream: Upstream) -> float:
+        return self.router.estimate_distance_s(upstream.place)
 
     async def _keep_house(self) -> None:
         while True:
             await trio.sleep(HOUSEKEEPING_S)
             self.directory.expire()
-            self.pools.update()
+            self.lanes.update()
+            self.home.expire()
 
     async def _guard(self) -> None:
         """Run a guardian for each service that a route leads to."""
@@ -222,9 +243,10 @@
                 while True:
                     table = self.routes.table
                     for service in table.list_services() if table else []:
-                        if service not in self._guarded:
-                            self._guarded.add(service)
-                            nursery.start_soon(self._make_guardian(service).run)
+                        if service not in self._guardians:
+                            guardian = self._make_guardian(service)
+                            self._guardians[service] = guardian
+                            nursery.start_soon(guardian.run)
                     await self.routes.wait_change()
 
     def _make_guardian(self, service: ServiceId) -> Guardian:
--- /dev/null
+++ b/celeryfold/proxy/lanes.py
@@ -0,0 +1,143 @@
+"""Ways to an upstream: on connections of our own, or through a home that has some."""
+
+from __future__ import annotations
+
+__all__ = ["Batch", "HeldConnection", "Lane", "NotRun", "Work"]
+
+import math
+from abc import ABC, abstractmethod
+
+import msgspec
+
+from ..exceptions import CeleryfoldError
+from ..kernel.errors import ErrorKind
+from .clock import Clock
+from .positions import LogPosition
+from .statements import Prepare, Request
+from .upstream import Reply, Upstream
+
+# The running mean of durations: about the last ten count; unused ones are forgotten.
+DURATION_WEIGHT = 0.1
+DURATION_KEPT_S = 3.0
+FIRST_DURATION_S = 0.010
+
+
+class NotRun(CeleryfoldError):
+    """The statement did not run or may be repeated; another upstream may run it."""
+
+    def __init__(self, kind: ErrorKind, text: str) -> None:
+        super().__init__(text)
+        self.kind = kind
+        self.text = text
+
+
+class Work(msgspec.Struct, frozen=True, array_like=True):
+    """Hold requests that run one after the other on one connection.
+
+    :param values: the session's values, set up first.
+    :param needed: the prepared statement that a request runs, set up first.
+    :param priority: 0 goes first where connections are short.
+    :param wait_s: how long to wait for a connection, seconds.
+    :param timeout_s: how long all replies may take, seconds.
+    :param is_checked: whether a connection that rested is tried before, since the
+        outcome of a write on a silent one is not known.
+    :param keeps: whether the connection is held for more where a transaction is open.
+    """
+
+    requests: tuple[Request, ...]
+    values: dict[str, str]
+    needed: Prepare | None
+    priority: int
+    wait_s: float
+    timeout_s: float
+    is_checked: bool = False
+    keeps: bool = False
+
+
+class HeldConnection(ABC):
+    """A connection inside a transaction."""
+
+    @abstractmethod
+    async def run(self, work: Work) -> list[Reply]:
+        """Run requests; the connection is given back once no transaction is open.
+
+        :raises NotRun: where the session's state could not be set up; it is closed.
+        :raises ExchangeFailed: not every reply came; it is closed.
+        """
+
+    @property
+    @abstractmethod
+    def is_over(self) -> bool:
+        """Tell whether the transaction has ended or its connection is closed."""
+
+    @abstractmethod
+    def abandon(self) -> None:
+        """Undo the transaction and give the connection back."""
+
+
+class Batch(msgspec.Struct, frozen=True):
+    """Hold the replies to the requests of some work.
+
+    :param held: the connection, where it was to be kept and a transaction is open.
+    """
+
+    replies: list[Reply]
+    held: HeldConnection | None = None
+
+
+class Lane(ABC):
+    """One way to one upstream, and what is known of how it does."""
+
+    def __init__(self, upstream: Upstream, clock: Clock) -> None:
+        self.upstream = upstream
+        self.position: LogPosition | None = None
+        self.silent_at = -math.inf
+        self.distance_s = 0.0
+        self._clock = clock
+        self._duration_s = FIRST_DURATION_S
+        self._duration_at = -math.inf
+
+    @abstractmethod
+    async def run(self, work: Work) -> Batch:
+        """Run requests on one connection.
+
+        :raises NotRun: nothing of it ran.
+        :raises ExchangeFailed: not every reply came.
+        """
+
+    @abstractmethod
+    def may_serve(self) -> bool:
+        """Tell whether the upstream can be reached, as far as is known."""
+
+    @property
+    def is_local(self) -> bool:
+        """Tell whether the connections are this instance's own."""
+        return False
+
+    @property
+    def n_in_use(self) -> int:
+        """Statements that run or wait here."""
+        return 0
+
+    def note_position(self, position: LogPosition | None) -> None:
+        """Take in the log position that a reply reported."""
+        if position is not None:
+            if self.position is None or position > self.position:
+                self.position = position
+
+    def note_duration(self, seconds: float) -> None:
+        """Take in how long a statement took, the way there and back included."""
+        seconds = max(seconds - self.distance_s, 0.0)
+        self._duration_s += DURATION_WEIGHT * (seconds - self._duration_s)
+        self._duration_at = self._clock()
+
+    def note_silence(self) -> None:
+        """Note that nothing came in time."""
+        self.silent_at = self._clock()
+
+    @property
+    def service_s(self) -> float:
+        """How long a statement takes at the upstream, as measured lately."""
+        if self._clock() - self._duration_at > DURATION_KEPT_S:
+            return FIRST_DURATION_S
+        return self._duration_s
--- /dev/null
+++ b/celeryfold/proxy/local_lane.py
@@ -0,0 +1,148 @@
+"""The way to an upstream on connections of this instance's own."""
+
+from __future__ import annotations
+
+__all__ = ["LocalLane"]
+
+from collections.abc import Sequence
+
+from ..exceptions import RequestFailure
+from ..kernel.errors import ErrorKind
+from .clock import Clock
+from .exchanges import ExchangeFailed, exchange
+from .lanes import Batch, HeldConnection, Lane, NotRun, Work
+from .pool import Pool, PooledConnection, Recycled
+from .statements import Begin, Request, Rollback
+from .upstream import Reply, TransactionState, UpstreamError
+
+# A connection that rested longer is tried with an empty transaction before a write.
+RESTED_S = 1.0
+# The empty transaction is answered in a round trip or not at all.
+CHECK_TIMEOUT_S = 0.5
+
+
+class LocalLane(Lane):
+    """Run work on a pool's connections."""
+
+    def __init__(self, pool: Pool, clock: Clock) -> None:
+        super().__init__(pool.upstream, clock)
+        self.pool = pool
+
+    @property
+    def is_local(self) -> bool:
+        """Tell whether the connections are this instance's own."""
+        return True
+
+    @property
+    def n_in_use(self) -> int:
+        """Statements that run or wait here."""
+        return self.pool.n_busy + self.pool.n_waiting
+
+    def may_serve(self) -> bool:
+        """Tell whether the upstream can be reached, as far as is known."""
+        return self.pool.may_serve()
+
+    async def run(self, work: Work) -> Batch:
+        """Run requests on one connection."""
+        try:
+            pooled = await self.pool.acquire(work.values, work.priority, work.wait_s)
+        except RequestFailure as failure:
+            raise NotRun(failure.kind, failure.message) from failure
+        if work.is_checked:
+            await self._check(pooled)
+        replies = await self.exchange(pooled, work)
+        return Batch(replies, self._settle(pooled, work, replies))
+
+    def _settle(
+        self, pooled: PooledConnection, work: Work, replies: Sequence[Reply]
+    ) -> HeldConnection | None:
+        if replies[-1].state is TransactionState.IDLE:
+            self.pool.release(pooled, Recycled.CLEAN)
+        elif work.keeps and replies[-1].state is TransactionState.OPEN:
+            return _LocalHeld(self, pooled)
+        else:
+            self.pool.release(pooled, Recycled.IN_TRANSACTION)
+        return None
+
+    async def exchange(self, pooled: PooledConnection, work: Work) -> list[Reply]:
+        """Set a session's state up on a connection and run requests on it.
+
+        :raises NotRun: where the state could not be set up; the connection is closed.
+        :raises ExchangeFailed: not every reply came; the connection is closed.
+        """
+        prelude = pooled.make_prelude(work.values, work.needed)
+        sent_at = self._clock()
+        try:
+            replies = await exchange(
+                self.pool, pooled, [*prelude, *work.requests], work.timeout_s
+            )
+        except ExchangeFailed as failure:
+            if failure.is_silence:
+                self.note_silence()
+            raise ExchangeFailed(
+                failure.ending, failure.replies[len(prelude) :], str(failure)
+            ) from failure
+        self.note_duration(self._clock() - sent_at)
+        for reply in replies:
+            self.note_position(reply.position)
+        self._check_prelude(pooled, replies[: len(prelude)])
+        answers = replies[len(prelude) :]
+        _forget_unknown(pooled, work, answers)
+        return answers
+
+    def _check_prelude(
+        self, pooled: PooledConnection, replies: Sequence[Reply]
+    ) -> None:
+        """Close a connection that could not be put into a session's state."""
+        for reply in replies:
+            if reply.error is not None:
+                self.pool.release(pooled, Recycled.BROKEN)
+                raise NotRun(reply.error.kind, reply.error.text)
+
+    async def _check(self, pooled: PooledConnection) -> None:
+        """Try a connection that rested with an empty transaction."""
+        if self._clock() - pooled.answered_at < RESTED_S:
+            return
+        requests = [Request(Begin()), Request(Rollback())]
+        try:
+            await exchange(self.pool, pooled, requests, CHECK_TIMEOUT_S)
+        except ExchangeFailed as failure:
+            raise NotRun(ErrorKind.NOT_RUN, str(failure)) from failure
+
+
+class _LocalHeld(HeldConnection):
+    def __init__(self, lane: LocalLane, pooled: PooledConnection) -> None:
+        self._lane = lane
+        self._pooled: PooledConnection | None = pooled
+
+    @property
+    def is_over(self) -> bool:
+        return self._pooled is None
+
+    async def run(self, work: Work) -> list[Reply]:
+        pooled, self._pooled = self._pooled, None
+        assert pooled is not None
+        replies = await self._lane.exchange(pooled, work)
+        if replies[-1].state is TransactionState.IDLE:
+            self._lane.pool.release(pooled, Recycled.CLEAN)
+        else:
+            self._pooled = pooled
+        return replies
+
+    def abandon(self) -> None:
+        pooled, self._pooled = self._pooled, None
+        if pooled is not None:
+            self._lane.pool.release(pooled, Recycled.IN_TRANSACTION)
+
+
+def _forget_unknown(
+    pooled: PooledConnection, work: Work, replies: Sequence[Reply]
+) -> None:
+    """Note that the upstream does not know the prepared statement after all."""
+    errors = [reply.error for reply in replies if reply.error is not None]
+    if work.needed is not None and any(map(_is_unknown, errors)):
+        pooled.prepared.discard(work.needed.name)
+
+
+def _is_unknown(error: UpstreamError) -> bool:
+    return error.kind is ErrorKind.UNKNOWN_STATEMENT
--- a/celeryfold/proxy/messages.py
+++ b/celeryfold/proxy/messages.py
@@ -1,13 +1,12 @@
-"""Messages between instances that carry news."""
+"""Messages between instances."""
 
 from __future__ import annotations
 
-__all__ = ["PEER_CODEC", "AgedSample", "AskNews", "News", "Peer"]
+__all__ = ["AgedPeer", "AgedSample", "AskNews", "News", "Peer"]
 
 import msgspec
 
 from ..kernel.ids import Generation, InstanceId, PlaceId, ServiceId, UpstreamId
-from ..links.codec import MessageCodec
 from .directory import Listing
 from .positions import LogPosition
 
@@ -24,6 +23,16 @@
     is_leaving: bool = False
 
 
+class AgedPeer(msgspec.Struct, frozen=True, array_like=True):
+    """Pass on that an instance was heard.
+
+    :param age_s: how long ago when the message was written, in seconds.
+    """
+
+    peer: Peer
+    age_s: float
+
+
 class AgedSample(msgspec.Struct, frozen=True, array_like=True):
     """Pass a sample on.
 
@@ -41,21 +50,21 @@
 
     :param version: the configuration that the asker has.
     :param revision: the listing of upstreams that the asker has.
-    :param peers_digest: hash of the peers that the asker knows.
+    :param wants_peers: whether to tell which instances are alive.
     """
 
     asker: Peer
     version: Generation
     revision: int
-    peers_digest: int
+    wants_peers: bool
 
 
 class News(msgspec.Struct, frozen=True, array_like=True, tag="news"):
     """Answer with what the asker lacks.
 
-    :param source: the configuration's bytes, or None where the asker has it.
     :param store_age_s: how old the newest word of the store is that this rests on.
-    :param peers: those that the sender hears, empty where the asker knows the same.
+    :param source: the configuration's bytes, or None where the asker has it.
+    :param listing: the upstreams, or None where the asker has them.
     """
 
     me: Peer
@@ -63,7 +72,4 @@
     source: bytes | None
     listing: Listing | None
     samples: tuple[AgedSample, ...]
-    peers: tuple[Peer, ...]
-
-
-PEER_CODEC = MessageCodec(AskNews | News)
+    peers: tuple[AgedPeer, ...]
--- a/celeryfold/proxy/peers.py
+++ b/celeryfold/proxy/peers.py
@@ -1,4 +1,4 @@
-"""Exchange of news between instances: configuration, upstreams and samples."""
+"""Exchange of news between instances: configuration, upstreams, samples, members."""
 
 from __future__ import annotations
 
@@ -7,37 +7,38 @@
 import itertools
 import logging
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import trio
-import xxhash
 
 from ..exceptions import CeleryfoldError
-from ..kernel.ids import InstanceId, PlaceId, ServiceId
+from ..kernel.ids import InstanceId, PlaceId, RegionId, ServiceId
 from ..kernel.metrics import Metrics
-from ..links.link import PeerLink
+from ..links import PeerLink
 from .clock import Clock
 from .directory import Directory
-from .messages import AgedSample, AskNews, News, Peer
+from .messages import AgedPeer, AgedSample, AskNews, News, Peer
 from .routes import Routes, RouteTable
 from .samples import Sample, SampleBook
 
 log = logging.getLogger(__name__)
 
-EXCHANGE_INTERVAL_S = 0.5
+# Three hops, each of an interval at most, keep a sample below the smallest accepted age
+# that the users name, 1.5 s.
+EXCHANGE_INTERVAL_S = 0.35
 EXCHANGE_TIMEOUT_S = 0.6
-# Instances of other data centres are asked less often: those bytes are paid for.
-N_ROUNDS_TO_ASK_FAR = 2
+# Members change seldom; between data centres their names are paid for.
+N_ROUNDS_TO_ASK_MEMBERS = 4
 # Between regions a round trip takes 60 ms.
 ASK_ALL_TIMEOUT_S = 0.25
-# A peer that has not been heard for six exchanges holds no share of connections.
-ALIVE_S = 3.0
+# Two rounds of members and the hops between are below this.
+ALIVE_S = 4.0
 # Long enough for an instance cut off from all others to find them again.
 FORGET_S = 30.0
-# Stands for never where ages of the store's word are compared.
-NEVER_HEARD_S = 1e6
 # A sample older than this serves no read and shows no primary.
 NEWS_SAMPLE_AGE_S = 3.0
+# Stands for never where ages of the store's word are compared.
+NEVER_HEARD_S = 1e6
 
 
 class _Known:
@@ -47,28 +48,44 @@
 
 
 class PeerBook:
-    """Hold the instances that are known and when each was heard last."""
+    """Hold the instances that are known and when each was heard last.
 
-    def __init__(self, me: Peer, seeds: Sequence[str], clock: Clock) -> None:
+    :param regions: the region of each data centre.
+    """
+
+    def __init__(
+        self,
+        me: Peer,
+        seeds: Sequence[str],
+        regions: Mapping[PlaceId, RegionId],
+        clock: Clock,
+    ) -> None:
         self.me = me
+        self.regions = regions
         self._seeds = [seed for seed in seeds if seed != me.address]
         self._clock = clock
         self._known: dict[InstanceId, _Known] = {}
+        self._spoke_at = 0.0
 
     def hear(self, peer: Peer) -> None:
         """Note that a peer has just spoken."""
+        self._spoke_at = self._clock()
+        self._note(peer, self._clock())
+
+    def learn(self, peer: Peer, heard_at: float) -> None:
+        """Take in that another instance heard a peer at a moment of our clock."""
+        self._note(peer, heard_at)
+
+    def _note(self, peer: Peer, heard_at: float) -> None:
         if peer.instance_id == self.me.instance_id:
             return
         known = self._known.get(peer.instance_id)
         if known is None:
             self._log_change("peer found", peer)
-        self._known[peer.instance_id] = _Known(peer, self._clock())
-
-    def suggest(self, peer: Peer) -> None:
-        """Take in a peer that another one knows; it has yet to be heard."""
-        if peer.instance_id in (self.me.instance_id, *self._known):
-            return
-        self._known[peer.instance_id] = _Known(peer, self._clock() - ALIVE_S)
+            self._known[peer.instance_id] = _Known(peer, heard_at)
+        elif heard_at > known.heard_at:
+            known.peer = peer
+            known.heard_at = heard_at
 
     def list_alive(self) -> list[Peer]:
         """Return the peers heard lately that are not leaving."""
@@ -79,57 +96,63 @@
             if known.heard_at > oldest and not known.peer.is_leaving
         ]
 
-    def count_heard(self, within_s: float) -> int:
-        """Return how many peers were heard within some seconds."""
-        oldest = self._clock() - within_s
-        return sum(known.heard_at > oldest for known in self._known.values())
+    def list_aged(self) -> list[AgedPeer]:
+        """Return the peers heard lately with the time since."""
+        now = self._clock()
+        return [
+            AgedPeer(known.peer, now - known.heard_at)
+            for known in self._known.values()
+            if now - known.heard_at < ALIVE_S
+        ]
+
+    def has_heard(self, within_s: float) -> bool:
+        """Tell whether any peer spoke to this instance within some seconds."""
+        return self._clock() - self._spoke_at < within_s
 
     def has_known(self) -> bool:
         """Tell whether any peer is known, alive or not."""
         return bool(self._known)
 
-    def rank(self, place: PlaceId | None = None) -> int:
-        """Return this instance's place among those alive, of one data centre or all."""
-        names = [
-            peer.instance_id
-            for peer in self.list_alive()
-            if place is None or peer.place == place
-        ]
-        return sum(name < self.me.instance_id for name in names)
+    def has_seeds(self) -> bool:
+        """Tell whether others should be there."""
+        return bool(self._seeds)
 
-    def list_watchers(self) -> list[InstanceId]:
+    def find_watchers(self) -> dict[PlaceId, Peer]:
         """Return the instances that watch the store, one of each data centre."""
-        first: dict[PlaceId, InstanceId] = {}
+        first: dict[PlaceId, Peer] = {}
         for peer in [self.me, *self.list_alive()]:
-            known = first.get(peer.place, peer.instance_id)
-            first[peer.place] = min(known, peer.instance_id)
-        return sorted(first.values())
+            known = first.get(peer.place, peer)
+            first[peer.place] = min(known, peer, key=lambda p: p.instance_id)
+        return first
 
-    def choose_near(self) -> list[str]:
-        """Return the address of a peer of this data centre, if one is known."""
-        return self._choose(near=True)
+    def is_watcher(self) -> bool:
+        """Tell whether this instance watches the store for its data centre."""
+        watcher = self.find_watchers().get(self.me.place, self.me)
+        return watcher.instance_id == self.me.instance_id
 
-    def choose_far(self) -> list[str]:
-        """Return the address of a peer elsewhere, or of a seed nobody answered for."""
-        return self._choose(near=False)
+    def choose_asked(self) -> list[str]:
+        """Return the addresses to ask for news.
 
-    def _choose(self, near: bool) -> list[str]:
+        Watchers ask each other, the rest ask the watcher of their data centre.
+        """
         self._forget()
-        known = [entry.peer for entry in self._known.values()]
-        fitting = [p.address for p in known if (p.place == self.me.place) is near]
-        if not near:
-            addresses = {peer.address for peer in known}
-            fitting += [seed for seed in self._seeds if seed not in addresses]
-        return [random.choice(fitting)] if fitting else []
-
-    def list_heard_addresses(self) -> list[str]:
-        """Return the addresses of all peers that are alive."""
-        return [peer.address for peer in self.list_alive()]
-
-    def digest(self) -> int:
-        """Return a hash of the peers that are known."""
-        names = sorted([self.me.instance_id, *self._known])
-        return xxhash.xxh32_intdigest("|".join(names).encode())
+        watchers = self.find_watchers()
+        mine = watchers[self.me.place]
+        if mine.instance_id != self.me.instance_id:
+            return [mine.address]
+        others = [p.address for p in watchers.values() if p.place != self.me.place]
+        return others or self.choose_any()
+
+    def choose_any(self) -> list[str]:
+        """Return the address of any known peer or seed."""
+        known = [entry.peer.address for entry in self._known.values()]
+        addresses = list(dict.fromkeys([*known, *self._seeds]))
+        return [random.choice(addresses)] if addresses else []
+
+    def list_watcher_addresses(self) -> list[str]:
+        """Return the addresses of all other watchers."""
+        watchers = self.find_watchers().values()
+        return [p.address for p in watchers if p.instance_id != self.me.instance_id]
 
     def _forget(self) -> None:
         oldest = self._clock() - FORGET_S
@@ -176,22 +199,24 @@
         link.on(AskNews, self._answer)
 
     async def run(self) -> None:
-        """Ask a peer nearby and now and then one elsewhere, until cancelled."""
+        """Ask at each interval, until cancelled."""
         for number in itertools.count():
-            chosen = self._book.choose_near()
-            if not chosen or number % N_ROUNDS_TO_ASK_FAR == 0:
-                chosen += self._book.choose_far()
+            chosen = self._book.choose_asked()
+            if not self._book.has_heard(2 * EXCHANGE_INTERVAL_S):
+                chosen += self._book.choose_any()
+            wants_peers = number % N_ROUNDS_TO_ASK_MEMBERS == 0
             async with trio.open_nursery() as nursery:
-                for address in chosen:
-                    nursery.start_soon(self._ask, address)
+                for address in set(chosen):
+                    nursery.start_soon(self._ask, address, wants_peers)
                 await trio.sleep(EXCHANGE_INTERVAL_S)
 
     async def ask_all(self) -> None:
-        """Ask all peers that are alive at once, for no longer than a moment."""
+        """Ask all watchers at once, for no longer than a moment."""
+        addresses = self._book.list_watcher_addresses() + self._book.choose_any()
         with trio.move_on_after(ASK_ALL_TIMEOUT_S):
             async with trio.open_nursery() as nursery:
-                for address in self._book.list_heard_addresses():
-                    nursery.start_soon(self._ask, address)
+                for address in set(addresses):
+                    nursery.start_soon(self._ask, address, False)
 
     @property
     def store_age_s(self) -> float:
@@ -202,13 +227,13 @@
         """Note that the store has just answered this instance."""
         self._store_heard_at = self._clock()
 
-    async def _ask(self, address: str) -> None:
+    async def _ask(self, address: str, wants_peers: bool) -> None:
         asked_at = self._clock()
         question = AskNews(
             asker=self._book.me,
             version=self._routes.version,
             revision=self._directory.listing.revision,
-            peers_digest=self._book.digest(),
+            wants_peers=wants_peers,
         )
         try:
             news = await self._link.request(address, question, EXCHANGE_TIMEOUT_S)
@@ -219,9 +244,13 @@
             self._learn(news, asked_at)
 
     def _learn(self, news: News, asked_at: float) -> None:
+        """Take news in; ages are dated from before the question.
+
+        Nothing then looks younger than it is, whatever the clocks of both say.
+        """
         self._book.hear(news.me)
-        for peer in news.peers:
-            self._book.suggest(peer)
+        for aged_peer in news.peers:
+            self._book.learn(aged_peer.peer, asked_at - aged_peer.age_s)
         heard_at = asked_at - news.store_age_s
         self._store_heard_at = max(self._store_heard_at, heard_at)
         if news.source is not None:
@@ -237,31 +266,36 @@
         self._book.hear(question.asker)
         has_newer_table = self._routes.version > question.version
         listing = self._directory.listing
-        knows_peers = self._book.digest() == question.peers_digest
         return News(
             me=self._book.me,
             store_age_s=self.store_age_s,
             source=self._routes.source if has_newer_table else None,
             listing=listing if listing.revision > question.revision else None,
             samples=tuple(self._list_samples()),
-            peers=() if knows_peers else tuple(self._book.list_alive()),
+            peers=self._list_peers(question) if question.wants_peers else (),
+        )
+
+    def _list_peers(self, question: AskNews) -> tuple[AgedPeer, ...]:
+        """Return all peers to one of our data centre.
+
+        Others get those of our data centre and the watchers of all.
+        """
+        aged = self._book.list_aged()
+        here = self._book.me.place
+        if question.asker.place == here:
+            return tuple(aged)
+        watchers = {p.instance_id for p in self._book.find_watchers().values()}
+        return tuple(
+            a for a in aged if a.peer.place == here or a.peer.instance_id in watchers
         )
 
     def _list_samples(self) -> list[AgedSample]:
         table = self._routes.table
-        aged = []
-        for service in table.list_services() if table else []:
-            sample = self._age(service)
-            if sample is not None:
-                aged.append(sample)
-        return aged
+        aged = [self._age(s) for s in (table.list_services() if table else [])]
+        return [sample for sample in aged if sample is not None]
 
     def _age(self, service: ServiceId) -> AgedSample | None:
-        """Return the newest sample of a service with its age.
-
-        The asker dates it from before its question, so it never looks younger than it
-        is, whatever the clocks of both say.
-        """
+        """Return the newest sample of a service with its age."""
         newest = self._samples.newest(service)
         if newest is None:
             return None
--- /dev/null
+++ b/celeryfold/proxy/placement.py
@@ -0,0 +1,59 @@
+"""Which instances hold an upstream's connections; everyone computes the same."""
+
+from __future__ import annotations
+
+__all__ = ["N_RESERVED", "choose_homes", "divide_connections"]
+
+from collections.abc import Iterable, Mapping
+
+from ..kernel.ids import PlaceId, RegionId
+from ..kernel.rendezvous import weigh
+from .messages import Peer
+from .upstream import Upstream
+
+# Connections of an upstream kept for whoever guards its service, also in a change of
+# guardian, when the new one connects before the old one has closed.
+N_RESERVED = 2
+# With fewer connections each, instances go through homes: a transaction pins one.
+N_LEAST_DIRECT = 2
+# Enough for a home to serve pinned transactions and short statements side by side.
+N_EACH_HOME = 8
+
+
+def choose_homes(
+    upstream: Upstream,
+    peers: Iterable[Peer],
+    regions: Mapping[PlaceId, RegionId],
+    n_connections: int,
+) -> list[Peer]:
+    """Return the instances that connect to an upstream themselves.
+
+    All do where the connections suffice; else a few, those of the upstream's data
+    centre first, then of its region.
+    """
+    members = sorted(peers, key=lambda peer: peer.instance_id)
+    n_shared = max(n_connections - N_RESERVED, 1)
+    if n_shared >= N_LEAST_DIRECT * len(members):
+        return members
+    region = regions.get(upstream.place)
+
+    def rank(peer: Peer) -> tuple[bool, bool, int]:
+        is_far = regions.get(peer.place) != region
+        weight = weigh(upstream.upstream_id, peer.instance_id)
+        return peer.place != upstream.place, is_far, -weight
+
+    n_homes = max(n_shared // N_EACH_HOME, 1)
+    return sorted(members, key=rank)[:n_homes]
+
+
+def divide_connections(n_connections: int, n_homes: int, rank: int) -> int:
+    """Return how many connections to an upstream one home may hold.
+
+    All shares together and the reserve stay within the limit where there are no more
+    homes than connections; the remainder goes to the first homes.
+
+    :param rank: the home's place among all, from 0.
+    """
+    n_shared = max(n_connections - N_RESERVED, 1)
+    share, n_left = divmod(n_shared, max(n_homes, 1))
+    return max(share + (1 if rank < n_left else 0), 1)
--- a/celeryfold/proxy/pool.py
+++ b/celeryfold/proxy/pool.py
@@ -6,7 +6,6 @@
 
 import itertools
 import logging
-import math
 from enum import Enum
 from heapq import heappop, heappush
 
@@ -16,7 +15,6 @@
 from ..kernel.errors import ErrorKind
 from ..kernel.metrics import Metrics
 from .clock import Clock
-from .positions import LogPosition
 from .statements import (
     OWN_REQUEST,
     Prepare,
@@ -45,10 +43,6 @@
 LONGEST_RETRY_S = 1.0
 # Opening takes a place at the upstream; more at once would hold up statements.
 N_OPENING_AT_ONCE = 2
-# The running mean of durations: about the last ten count; unused ones are forgotten.
-DURATION_WEIGHT = 0.1
-DURATION_KEPT_S = 3.0
-FIRST_DURATION_S = 0.010
 # A free connection that was not needed for so long is closed, but for one: after a
 # loss of all instances the upstream holds their connections for seconds, and new ones
 # have to fit in beside them.
@@ -123,7 +117,6 @@
         self.is_closed = False
         self.is_unreachable = False
         self.is_misplaced = False
-        self.position: LogPosition | None = None
         self._connector = connector
         self._clock = clock
         self._metrics = metrics
@@ -137,9 +130,6 @@
         self._is_retry_planned = False
         self._nursery: trio.Nursery | None = None
         self.answered_at = clock()
-        self.silent_at = -math.inf
-        self._duration_s = FIRST_DURATION_S
-        self._duration_at = -math.inf
 
     def start(self, nursery: trio.Nursery) -> None:
         """Take the nursery that connections are opened and undone in."""
@@ -166,26 +156,9 @@
             return False
         return self._n_open > 0 or not self.is_unreachable or self._may_open()
 
-    def note_duration(self, seconds: float) -> None:
-        """Take in how long the upstream took to run a statement."""
-        self._duration_s += DURATION_WEIGHT * (seconds - self._duration_s)
-        self._duration_at = self._clock()
-
-    @property
-    def service_s(self) -> float:
-        """How long a statement takes at the upstream, as measured lately."""
-        if self._clock() - self._duration_at > DURATION_KEPT_S:
-            return FIRST_DURATION_S
-        return self._duration_s
-
-    def note_reply(self, pooled: PooledConnection, reply: Reply) -> None:
-        """Take in the log position that a reply reported."""
+    def note_reply(self, pooled: PooledConnection) -> None:
+        """Note that the upstream has just answered on a connection."""
         pooled.answered_at = self.answered_at = self._clock()
-        position = reply.position
-        if position is None:
-            return
-        if self.position is None or position > self.position:
-            self.position = position
 
     async def acquire(
         self, values: dict[str, str], priority: int, wait_s: float
@@ -328,12 +301,11 @@
                 waiter.done.set()
         self._waiters = []
 
-    def note_silence(self) -> None:
-        """Take all idle connections for silent, since one that was lent is.
+    def drop_free(self) -> None:
+        """Take all free connections for silent, since one that was lent is.
 
         Something between both ends may have lost track of all of them at once.
         """
-        self.silent_at = self._clock()
         self._metrics.count("upstream.silent")
         while self._idle:
             self._discard(self._idle.pop())
@@ -357,7 +329,7 @@
             except ConnectionLost:
                 self._metrics.count("upstream.rollback_lost")
         if reply is not None and reply.state is TransactionState.IDLE:
-            self.note_reply(pooled, reply)
+            self.note_reply(pooled)
             self._give(pooled)
         else:
             self._discard(pooled)
--- a/celeryfold/proxy/reads.py
+++ b/celeryfold/proxy/reads.py
@@ -8,23 +8,20 @@
 
 import trio
 
-from ..exceptions import RequestFailure
 from ..kernel.errors import ErrorKind
 from ..kernel.ids import UpstreamId
 from .answers import RETRIED_ELSEWHERE, Sent, find_answer
 from .calls import Call, OwnWrite, remaining_s
 from .exchanges import ExchangeFailed
-from .pool import Pool
+from .lanes import Lane, NotRun
 from .positions import LogPosition
 from .routes import Consistency
-from .runner import Runner, TryElsewhere, describe_error
+from .runner import ATTEMPT_SHARE, Runner, describe_error
 from .samples import Sample
 from .statements import Begin, Request, Rollback
 from .upstream import Reply
 
 N_TRIES = 6
-# The part of the time left after which a read that got no answer is sent elsewhere.
-ATTEMPT_SHARE = 0.5
 # Replicas lag by some tens of milliseconds; a round over all of them waits this long.
 ROUND_PAUSE_S = 0.02
 
@@ -37,7 +34,7 @@
         only the primary opens.
     """
 
-    pool: Pool
+    lane: Lane
     since: LogPosition | None
 
 
@@ -62,7 +59,7 @@
         :raises RequestFailure: where none could be had in time.
         """
         avoided: set[UpstreamId] = set()
-        failure: TryElsewhere | None = None
+        failure: NotRun | None = None
         for _ in range(N_TRIES):
             if remaining_s(call, self.clock) <= 0:
                 break
@@ -75,17 +72,11 @@
                 plan = _Plan(await self.wait_leader(call), None)
             try:
                 return await self._attempt(call, plan)
-            except TryElsewhere as error:
+            except NotRun as error:
                 failure = error
-                avoided.add(plan.pool.upstream.upstream_id)
-                self.log_retry(call, plan.pool, error)
-        return self._give_up(call, failure)
-
-    def _give_up(self, call: Call, failure: TryElsewhere | None) -> Reply:
-        kind = failure.kind if failure else ErrorKind.OVERLOADED
-        text = failure.text if failure else "no upstream could run the read in time"
-        self.log_refusal(call, text, kind=kind.value)
-        raise RequestFailure(kind, f"{text}; come back")
+                avoided.add(plan.lane.upstream.upstream_id)
+                self.log_retry(call, plan.lane, error)
+        raise self.give_up(call, failure, "no upstream ran the read in time")
 
     def _plan(self, call: Call, avoided: set[UpstreamId]) -> _Plan | None:
         """Choose an upstream; the primary in a transaction where no sample will do."""
@@ -96,9 +87,9 @@
         bound = self._find_bound(call)
         if bound is not None:
             needed = find_needed(bound, call.own_write)
-            pool = self.router.find_reader(route.service, needed, avoided)
-            if pool is not None:
-                return _Plan(pool, needed)
+            lane = self.router.find_reader(route.service, needed, avoided)
+            if lane is not None:
+                return _Plan(lane, needed)
         return _Plan(leader, None) if leader is not None else None
 
     def _find_bound(self, call: Call) -> Sample | None:
@@ -109,31 +100,24 @@
         return self.samples.find_bound(route.service, not_before)
 
     async def _attempt(self, call: Call, plan: _Plan) -> Reply:
-        pool = plan.pool
-        pooled = await self.acquire(pool, call)
-        requests = pooled.make_prelude(call.values, call.needed)
-        n_prelude = len(requests)
         statement = call.request.statement
         if plan.since is None:
-            requests += [Request(Begin()), call.request, Request(Rollback())]
+            requests = [Request(Begin()), call.request, Request(Rollback())]
         else:
-            read = Request(statement, call.request.request_id, plan.since)
-            requests.append(read)
-        sent_at = self.clock()
-        timeout_s = remaining_s(call, self.clock) * ATTEMPT_SHARE
+            requests = [Request(statement, call.request.request_id, plan.since)]
+        work = self.make_work(call, *requests, share=ATTEMPT_SHARE)
         try:
-            replies = await self.exchange(pool, pooled, requests, timeout_s)
+            batch = await self.run_work(plan.lane, work)
         except ExchangeFailed as failure:
-            raise TryElsewhere(
-                find_answer(Sent.READ, failure.ending), str(failure)
-            ) from failure
-        self.settle(pool, pooled, call, replies, n_prelude)
+            kind = find_answer(Sent.READ, failure.ending)
+            raise NotRun(kind, str(failure)) from failure
         if plan.since is None:
-            begin = replies[n_prelude]
-            if not self.note_begin(pool, begin, sent_at):
+            begin, reply, _ = batch.replies
+            if begin.error is not None:
                 raise describe_error(begin)
-            return _judge(replies[n_prelude + 1])
-        return _judge(replies[n_prelude])
+        else:
+            [reply] = batch.replies
+        return _judge(reply)
 
 
 def _judge(reply: Reply) -> Reply:
--- a/celeryfold/proxy/routing.py
+++ b/celeryfold/proxy/routing.py
@@ -9,8 +9,8 @@
 from ..kernel.ids import PlaceId, RegionId, ServiceId, UpstreamId
 from .clock import Clock
 from .directory import Directory
-from .pool import Pool
-from .pools import PoolBook
+from .lane_book import LaneBook
+from .lanes import Lane
 from .positions import LogPosition
 from .samples import SampleBook
 from .upstream import Upstream
@@ -27,10 +27,10 @@
 LEAVING_PRIMARY_USED_S = 4.0
 
 
-def estimate_wait_s(pool: Pool) -> float:
+def estimate_wait_s(lane: Lane) -> float:
     """Return how long a statement is likely to take, given what runs and waits."""
-    load = (pool.n_busy + pool.n_waiting) / max(pool.upstream.n_slots, 1)
-    return pool.service_s * (1.0 + load)
+    load = lane.n_in_use / max(lane.upstream.n_slots, 1)
+    return lane.service_s * (1.0 + load)
 
 
 class Router:
@@ -44,19 +44,19 @@
         place: PlaceId,
         regions: Mapping[PlaceId, RegionId],
         directory: Directory,
-        pools: PoolBook,
+        lanes: LaneBook,
         samples: SampleBook,
         clock: Clock,
     ) -> None:
         self._place = place
         self._regions = regions
         self._directory = directory
-        self._pools = pools
+        self._lanes = lanes
         self._samples = samples
         self._clock = clock
 
-    def find_leader(self, service: ServiceId) -> Pool | None:
-        """Return the pool of a service's primary, if it is known and may be used."""
+    def find_leader(self, service: ServiceId) -> Lane | None:
+        """Return the lane to a service's primary, if it is known and may be used."""
         leader = self._samples.find_leader(service)
         if leader is None:
             return None
@@ -66,37 +66,37 @@
         left_s = self._directory.find_leaving_s(leader)
         if left_s is not None and left_s > LEAVING_PRIMARY_USED_S:
             return None
-        return self._pools.find(leader)
+        return self._lanes.find(leader)
 
     def find_reader(
         self,
         service: ServiceId,
         needed: LogPosition,
         avoided: Collection[UpstreamId] = (),
-    ) -> Pool | None:
-        """Return the pool of the upstream that should run a read.
+    ) -> Lane | None:
+        """Return the lane to the upstream that should run a read.
 
         :param needed: the log position that the read must see.
         """
-        best: Pool | None = None
+        best: Lane | None = None
         best_cost_s = 0.0
         for upstream in self._directory.list_service(service):
             if upstream.is_leaving or upstream.upstream_id in avoided:
                 continue
-            pool = self._pools.find(upstream.upstream_id)
-            if pool is None or not pool.may_serve():
+            lane = self._lanes.find(upstream.upstream_id)
+            if lane is None or not lane.may_serve():
                 continue
-            cost_s = self._rate(upstream, pool, needed)
+            cost_s = self._rate(upstream, lane, needed)
             if best is None or cost_s < best_cost_s:
-                best = pool
+                best = lane
                 best_cost_s = cost_s
         return best
 
-    def _rate(self, upstream: Upstream, pool: Pool, needed: LogPosition) -> float:
-        cost_s = self.estimate_distance_s(upstream.place) + estimate_wait_s(pool)
-        if pool.position is None or pool.position < needed:
+    def _rate(self, upstream: Upstream, lane: Lane, needed: LogPosition) -> float:
+        cost_s = self.estimate_distance_s(upstream.place) + estimate_wait_s(lane)
+        if lane.position is None or lane.position < needed:
             cost_s += LAGGING_COST_S
-        if self._clock() - pool.silent_at < SILENT_PENALTY_S:
+        if self._clock() - lane.silent_at < SILENT_PENALTY_S:
             cost_s += SILENT_PENALTY_S
         return cost_s
 
--- a/celeryfold/proxy/runner.py
+++ b/celeryfold/proxy/runner.py
@@ -2,26 +2,23 @@
 
 from __future__ import annotations
 
-__all__ = ["Runner", "TryElsewhere", "describe_error"]
+__all__ = ["ATTEMPT_SHARE", "Runner", "describe_error"]
 
 import logging
-from collections.abc import Sequence
 
 import trio
 
-from ..exceptions import CeleryfoldError, RequestFailure
+from ..exceptions import RequestFailure
 from ..kernel.errors import ErrorKind
 from ..kernel.metrics import Metrics
 from .answers import Ending, Sent, find_answer
 from .calls import Call, remaining_s
 from .clock import Clock
-from .directory import Directory
-from .exchanges import ExchangeFailed, exchange
-from .pool import Pool, PooledConnection, Recycled
+from .lanes import Batch, Lane, NotRun, Work
 from .routing import Router
 from .samples import Sample, SampleBook
-from .statements import Begin, Request, Rollback
-from .upstream import Reply, TransactionState
+from .statements import Begin, Request
+from .upstream import Reply
 
 log = logging.getLogger(__name__)
 
@@ -35,40 +32,18 @@
 CHANGE_S = 2.2
 # An instance that has just started finds the primary within this.
 FIRST_SAMPLE_S = 0.6
-# A connection that rested longer is tried with an empty transaction before a write.
-RESTED_S = 1.0
-# The empty transaction is answered in a round trip or not at all.
-CHECK_TIMEOUT_S = 0.5
-
-
-class TryElsewhere(CeleryfoldError):
-    """The statement did not run or may be repeated; another upstream may run it."""
-
-    def __init__(self, kind: ErrorKind, text: str) -> None:
-        super().__init__(text)
-        self.kind = kind
-        self.text = text
-
-
-def describe_error(reply: Reply) -> TryElsewhere:
-    """Return an upstream's error as a reason to try elsewhere."""
-    assert reply.error is not None
-    return TryElsewhere(reply.error.kind, reply.error.text)
+# The part of the time left after which work without an answer that may be repeated is
+# sent elsewhere.
+ATTEMPT_SHARE = 0.5
 
 
 class Runner:
-    """Lend connections and exchange messages for a call; root of all runners."""
+    """Choose, wait and log for a call; root of all runners."""
 
     def __init__(
-        self,
-        router: Router,
-        directory: Directory,
-        samples: SampleBook,
-        clock: Clock,
-        metrics: Metrics,
+        self, router: Router, samples: SampleBook, clock: Clock, metrics: Metrics
     ) -> None:
         self.router = router
-        self.directory = directory
         self.samples = samples
         self.clock = clock
         self.metrics = metrics
@@ -79,33 +54,35 @@
         wait_s = call.route.target_s * WAIT_SHARE - waited_s
         return min(max(wait_s, LEAST_WAIT_S), max(remaining_s(call, self.clock), 0.0))
 
-    async def acquire(self, pool: Pool, call: Call) -> PooledConnection:
-        """Lend a connection for a call.
+    def make_work(self, call: Call, *requests: Request, share: float = 1.0) -> Work:
+        """Return work that runs requests for a call.
+
+        :param share: the part of the call's time left that it may take.
+        """
+        return Work(
+            requests=requests,
+            values=call.values,
+            needed=call.needed,
+            priority=call.route.priority,
+            wait_s=self.find_wait_s(call),
+            timeout_s=max(remaining_s(call, self.clock), 0.0) * share,
+        )
 
-        :raises TryElsewhere: where none can be had in time.
+    async def run_work(self, lane: Lane, work: Work) -> Batch:
+        """Run work and take in what the replies say of who leads.
+
+        :raises NotRun: nothing of it ran.
+        :raises ExchangeFailed: not every reply came.
         """
-        wait_s = self.find_wait_s(call)
-        try:
-            return await pool.acquire(call.values, call.route.priority, wait_s)
-        except RequestFailure as failure:
-            raise TryElsewhere(failure.kind, failure.message) from failure
-
-    async def exchange(
-        self,
-        pool: Pool,
-        pooled: PooledConnection,
-        requests: Sequence[Request],
-        timeout_s: float,
-    ) -> list[Reply]:
-        """Exchange requests for replies and note how long the upstream took."""
         sent_at = self.clock()
-        replies = await exchange(pool, pooled, requests, timeout_s)
-        distance_s = self.router.estimate_distance_s(pool.upstream.place)
-        pool.note_duration(max(self.clock() - sent_at - distance_s, 0.0))
-        return replies
+        batch = await lane.run(work)
+        for request, reply in zip(work.requests, batch.replies, strict=True):
+            if request.statement == Begin():
+                self.note_begin(lane, reply, sent_at)
+        return batch
 
-    async def wait_leader(self, call: Call) -> Pool:
-        """Return the pool of the service's primary, once there is one.
+    async def wait_leader(self, call: Call) -> Lane:
+        """Return the lane to the service's primary, once there is one.
 
         A call that can still be served after the change of primary that is under way
         waits for it; others are refused at once.
@@ -115,9 +92,9 @@
         service = call.route.service
         with trio.move_on_after(self._find_change_s(call)):
             while True:
-                pool = self.router.find_leader(service)
-                if pool is not None:
-                    return pool
+                lane = self.router.find_leader(service)
+                if lane is not None:
+                    return lane
                 await self.samples.wait_newer(service)
         newest = self.samples.newest(service)
         age_ms = (self.clock() - newest.taken_at) * 1000 if newest else -1.0
@@ -127,93 +104,25 @@
     def _find_change_s(self, call: Call) -> float:
         """Return how long it makes sense to wait for a primary."""
         newest = self.samples.newest(call.route.service)
+        left_s = max(remaining_s(call, self.clock), 0.0)
         if newest is None:
-            return min(FIRST_SAMPLE_S, max(remaining_s(call, self.clock), 0.0))
+            return min(FIRST_SAMPLE_S, left_s)
         change_s = newest.taken_at + CHANGE_S - self.clock()
-        left_s = remaining_s(call, self.clock)
         return change_s if 0 < change_s < left_s else 0.0
 
-    async def check(self, pool: Pool, pooled: PooledConnection, call: Call) -> None:
-        """Try a connection that rested with an empty transaction.
-
-        A write on a connection that went silent has no known outcome; the check fails
-        first, without one.
-
-        :raises TryElsewhere: the connection is closed.
-        """
-        if self.clock() - pooled.answered_at < RESTED_S:
-            return
-        requests = [Request(Begin()), Request(Rollback())]
-        timeout_s = min(CHECK_TIMEOUT_S, remaining_s(call, self.clock))
-        sent_at = self.clock()
-        try:
-            replies = await exchange(pool, pooled, requests, timeout_s)
-        except ExchangeFailed as failure:
-            raise TryElsewhere(ErrorKind.NOT_RUN, str(failure)) from failure
-        self.note_begin(pool, replies[0], sent_at)
-
-    def note_begin(self, pool: Pool, reply: Reply, sent_at: float) -> bool:
-        """Take in what the reply to a plain begin says of who leads.
+    def note_begin(self, lane: Lane, reply: Reply, sent_at: float) -> None:
+        """Take in what the reply to a plain begin says of who leads."""
+        upstream = lane.upstream
+        if reply.error is None:
+            self.note_leader(lane, reply, sent_at)
+        elif reply.error.kind is ErrorKind.READ_ONLY:
+            self.samples.refuse(upstream.service, upstream.upstream_id)
 
-        :returns: whether the transaction is open.
-        """
-        upstream = pool.upstream
-        if reply.error is not None:
-            if reply.error.kind is ErrorKind.READ_ONLY:
-                self.samples.refuse(upstream.service, upstream.upstream_id)
-            return False
-        self.note_leader(pool, reply, sent_at)
-        return True
-
-    def note_leader(self, pool: Pool, reply: Reply, sent_at: float) -> None:
+    def note_leader(self, lane: Lane, reply: Reply, sent_at: float) -> None:
         """Take in that an upstream led when it handled a request."""
         if reply.position is not None:
-            sample = Sample(pool.upstream.upstream_id, reply.position, sent_at)
-            self.samples.add(pool.upstream.service, sample)
-
-    def settle(
-        self,
-        pool: Pool,
-        pooled: PooledConnection,
-        call: Call,
-        replies: Sequence[Reply],
-        n_prelude: int,
-    ) -> None:
-        """Give a connection back after its replies, unless its state is in doubt.
-
-        :raises TryElsewhere: where the session's state could not be set up.
-        """
-        self.check_prelude(pool, pooled, replies[:n_prelude])
-        self.forget_unknown(pooled, call, replies)
-        self.give_back(pool, pooled, replies[-1])
-
-    def check_prelude(
-        self, pool: Pool, pooled: PooledConnection, replies: Sequence[Reply]
-    ) -> None:
-        """Close a connection that could not be put into a session's state.
-
-        :raises TryElsewhere: with the error.
-        """
-        for reply in replies:
-            if reply.error is not None:
-                pool.release(pooled, Recycled.BROKEN)
-                raise describe_error(reply)
-
-    def forget_unknown(
-        self, pooled: PooledConnection, call: Call, replies: Sequence[Reply]
-    ) -> None:
-        """Note that the upstream does not know the prepared statement after all."""
-        for reply in replies:
-            error = reply.error
-            if error is not None and error.kind is ErrorKind.UNKNOWN_STATEMENT:
-                if call.needed is not None:
-                    pooled.prepared.discard(call.needed.name)
-
-    def give_back(self, pool: Pool, pooled: PooledConnection, last: Reply) -> None:
-        """Give a connection back in the state that its last reply reported."""
-        is_idle = last.state is TransactionState.IDLE
-        how = Recycled.CLEAN if is_idle else Recycled.IN_TRANSACTION
-        pool.release(pooled, how)
+            sample = Sample(lane.upstream.upstream_id, reply.position, sent_at)
+            self.samples.add(lane.upstream.service, sample)
 
     def fail(self, call: Call, sent: Sent, ending: Ending, text: str) -> RequestFailure:
         """Return the failure that a client hears, and log what decided it."""
@@ -225,6 +134,13 @@
         log.warning("statement ended without an answer", extra=extra)
         return RequestFailure(kind, text)
 
+    def give_up(self, call: Call, failure: NotRun | None, text: str) -> RequestFailure:
+        """Return the failure of a call that no upstream could run in time."""
+        kind = failure.kind if failure else ErrorKind.OVERLOADED
+        text = failure.text if failure else text
+        self.log_refusal(call, text, kind=kind.value)
+        return RequestFailure(kind, f"{text}; come back")
+
     def log_refusal(self, call: Call, reason: str, **inputs: object) -> None:
         """Log that a call is refused before anything of it was sent."""
         self.metrics.count("statement.refused")
@@ -232,12 +148,12 @@
         extra.update(reason=reason, **inputs)
         log.info("statement refused", extra=extra)
 
-    def log_retry(self, call: Call, pool: Pool, failure: TryElsewhere) -> None:
+    def log_retry(self, call: Call, lane: Lane, failure: NotRun) -> None:
         """Log that a call is tried at another upstream."""
         self.metrics.count(f"statement.retried.{failure.kind.value}")
         extra = self._describe(call)
         extra.update(
-            upstream=pool.upstream.upstream_id,
+            upstream=lane.upstream.upstream_id,
             kind=failure.kind.value,
             reason=failure.text,
         )
@@ -250,3 +166,9 @@
             "service": call.route.service,
             "waited_ms": round((self.clock() - call.arrived_at) * 1000, 1),
         }
+
+
+def describe_error(reply: Reply) -> NotRun:
+    """Return an upstream's error as a reason to try elsewhere."""
+    assert reply.error is not None
+    return NotRun(reply.error.kind, reply.error.text)
--- a/celeryfold/proxy/sampler.py
+++ b/celeryfold/proxy/sampler.py
@@ -4,23 +4,27 @@
 
 __all__ = ["Sampler"]
 
+from collections.abc import Callable
+
 import trio
 
-from ..exceptions import RequestFailure
 from ..kernel.ids import ServiceId
 from ..kernel.metrics import Metrics
 from .clock import Clock
 from .directory import Directory
 from .exchanges import ExchangeFailed
-from .pool import Pool
-from .pools import PoolBook
+from .lane_book import LaneBook
+from .lanes import Lane, NotRun, Work
 from .routes import Routes
 from .runner import Runner
 from .statements import Begin, Request, Rollback
 from .upstream import Upstream, UpstreamRole
 
-# A third of the smallest accepted age that the users name, 1.5 s, less a round trip.
-SAMPLE_INTERVAL_S = 0.4
+# Whoever samples for all does so this often; three hops later the sample is about 1 s
+# old, below the smallest accepted age that the users name, 1.5 s.
+SAMPLE_INTERVAL_S = 0.35
+# The rest sample for themselves where peers have brought nothing for so long.
+FALLBACK_INTERVAL_S = 0.9
 # How long to look for a primary between two rounds when none is known.
 SEARCH_INTERVAL_S = 0.15
 SAMPLE_TIMEOUT_S = 0.5
@@ -29,14 +33,18 @@
 
 
 class Sampler:
-    """Keep the samples of all routed services fresh."""
+    """Keep the samples of all routed services fresh.
+
+    :param is_first: tells whether this instance samples a service for all others.
+    """
 
     def __init__(
         self,
         runner: Runner,
         routes: Routes,
         directory: Directory,
-        pools: PoolBook,
+        lanes: LaneBook,
+        is_first: Callable[[ServiceId], bool],
         clock: Clock,
         metrics: Metrics,
     ) -> None:
@@ -44,7 +52,8 @@
         self._samples = runner.samples
         self._routes = routes
         self._directory = directory
-        self._pools = pools
+        self._lanes = lanes
+        self._is_first = is_first
         self._clock = clock
         self._metrics = metrics
         self._running: set[ServiceId] = set()
@@ -62,24 +71,27 @@
 
     async def _sample_service(self, service: ServiceId) -> None:
         while self._is_routed(service):
-            await trio.sleep(self._find_pause_s(service))
-            newest = self._samples.newest(service)
-            age_s = self._clock() - newest.taken_at if newest else SAMPLE_INTERVAL_S
-            if age_s < SAMPLE_INTERVAL_S:
-                continue
-            await self.sample(service)
+            leader = self._samples.find_leader(service)
+            if leader is None or self._find_due_s(service) <= 0:
+                await self.sample(service)
+            due_s = max(self._find_due_s(service), 0.0)
+            await trio.sleep(
+                due_s if 0 < due_s < SEARCH_INTERVAL_S else SEARCH_INTERVAL_S
+            )
         self._running.discard(service)
 
     def _is_routed(self, service: ServiceId) -> bool:
         table = self._routes.table
         return table is not None and service in table.list_services()
 
-    def _find_pause_s(self, service: ServiceId) -> float:
+    def _find_due_s(self, service: ServiceId) -> float:
+        """Return in how many seconds the next sample is due."""
         newest = self._samples.newest(service)
-        if newest is None or self._samples.find_leader(service) is None:
-            return SEARCH_INTERVAL_S
-        age_s = self._clock() - newest.taken_at
-        return max(SAMPLE_INTERVAL_S - age_s, SEARCH_INTERVAL_S)
+        if newest is None:
+            return 0.0
+        is_first = self._is_first(service)
+        interval_s = SAMPLE_INTERVAL_S if is_first else FALLBACK_INTERVAL_S
+        return newest.taken_at + interval_s - self._clock()
 
     async def sample(self, service: ServiceId) -> None:
         """Ask the primary for a sample, or all upstreams where none is known."""
@@ -91,9 +103,9 @@
             candidates = self._list_candidates(service)
         async with trio.open_nursery() as nursery:
             for candidate in candidates:
-                pool = self._pools.find(candidate.upstream_id)
-                if pool is not None:
-                    nursery.start_soon(self._ask, pool)
+                lane = self._lanes.find(candidate.upstream_id)
+                if lane is not None:
+                    nursery.start_soon(self._ask, lane)
 
     def _list_candidates(self, service: ServiceId) -> list[Upstream]:
         """Return who may lead: those that claim it at first, all after a loss."""
@@ -104,21 +116,20 @@
         refused = [u for u in claiming if self._samples.has_refused(u)]
         return listed if len(refused) == len(claiming) else claiming
 
-    async def _ask(self, pool: Pool) -> None:
+    async def _ask(self, lane: Lane) -> None:
+        work = Work(
+            requests=(Request(Begin()), Request(Rollback())),
+            values={},
+            needed=None,
+            priority=SAMPLE_PRIORITY,
+            wait_s=ACQUIRE_TIMEOUT_S,
+            timeout_s=SAMPLE_TIMEOUT_S,
+        )
         try:
-            pooled = await pool.acquire({}, SAMPLE_PRIORITY, ACQUIRE_TIMEOUT_S)
-        except RequestFailure:
-            self._metrics.count("sample.no_connection")
-            return
-        sent_at = self._clock()
-        requests = [Request(Begin()), Request(Rollback())]
-        try:
-            replies = await self._runner.exchange(
-                pool, pooled, requests, SAMPLE_TIMEOUT_S
-            )
+            await self._runner.run_work(lane, work)
+        except NotRun:
+            self._metrics.count("sample.not_taken")
         except ExchangeFailed:
             self._metrics.count("sample.unanswered")
-            return
-        self._metrics.count("sample.taken")
-        self._runner.note_begin(pool, replies[0], sent_at)
-        self._runner.give_back(pool, pooled, replies[-1])
+        else:
+            self._metrics.count("sample.taken")
--- a/celeryfold/proxy/statements.py
+++ b/celeryfold/proxy/statements.py
@@ -40,21 +40,21 @@
     WRITE = "write"
 
 
-class Begin(msgspec.Struct, frozen=True):
+class Begin(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Open a transaction."""
 
     read_only: bool = False
 
 
-class Commit(msgspec.Struct, frozen=True):
+class Commit(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Commit the open transaction."""
 
 
-class Rollback(msgspec.Struct, frozen=True):
+class Rollback(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Undo the open transaction."""
 
 
-class Read(msgspec.Struct, frozen=True):
+class Read(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Read one item.
 
     :param arguments: the statement's text after its verb, kept as it came.
@@ -63,7 +63,7 @@
     arguments: str
 
 
-class Write(msgspec.Struct, frozen=True):
+class Write(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Write one item.
 
     :param arguments: the statement's text after its verb, kept as it came.
@@ -72,14 +72,14 @@
     arguments: str
 
 
-class SetValue(msgspec.Struct, frozen=True):
+class SetValue(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Set a session value."""
 
     name: str
     value: str
 
 
-class Prepare(msgspec.Struct, frozen=True):
+class Prepare(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Give a statement's shape a name."""
 
     name: str
@@ -87,7 +87,7 @@
     shape: str
 
 
-class Execute(msgspec.Struct, frozen=True):
+class Execute(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Run a prepared statement.
 
     :param arguments: the text after the name, kept as it came.
@@ -97,31 +97,31 @@
     arguments: str
 
 
-class Deallocate(msgspec.Struct, frozen=True):
+class Deallocate(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Forget a prepared statement."""
 
     name: str
 
 
-class Reset(msgspec.Struct, frozen=True):
+class Reset(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Clear a connection's values and prepared statements."""
 
 
-class ReadStatus(msgspec.Struct, frozen=True):
+class ReadStatus(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Ask an upstream for its role and positions."""
 
 
-class Pause(msgspec.Struct, frozen=True):
+class Pause(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Have a replica receive nothing more of terms up to this one."""
 
     term: Term
 
 
-class Resume(msgspec.Struct, frozen=True):
+class Resume(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Have a paused replica receive again."""
 
 
-class Demote(msgspec.Struct, frozen=True):
+class Demote(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Make a primary of a lower term a replica."""
 
     term: Term
@@ -145,7 +145,7 @@
 )
 
 
-class Request(msgspec.Struct, frozen=True):
+class Request(msgspec.Struct, frozen=True, array_like=True):
     """Send one statement to an upstream.
 
     :param request_id: the client's id, or OWN_REQUEST for a statement of our own.
--- a/celeryfold/proxy/upstream.py
+++ b/celeryfold/proxy/upstream.py
@@ -63,7 +63,7 @@
     claimed_role: UpstreamRole | None = None
 
 
-class UpstreamStatus(msgspec.Struct, frozen=True):
+class UpstreamStatus(msgspec.Struct, frozen=True, array_like=True):
     """Report what an upstream says of its log.
 
     :param received: the last position that it has received.
@@ -76,14 +76,14 @@
     held_term: Term
 
 
-class UpstreamError(msgspec.Struct, frozen=True):
+class UpstreamError(msgspec.Struct, frozen=True, array_like=True):
     """Hold the error that an upstream answered with."""
 
     kind: ErrorKind
     text: str
 
 
-class Reply(msgspec.Struct, frozen=True):
+class Reply(msgspec.Struct, frozen=True, array_like=True):
     """Hold an upstream's whole answer to one request.
 
     :param signature: proof that this upstream ran the statement.
--- a/celeryfold/proxy/writes.py
+++ b/celeryfold/proxy/writes.py
@@ -4,13 +4,14 @@
 
 __all__ = ["WriteRunner"]
 
-from ..exceptions import RequestFailure
+import msgspec
+
 from ..kernel.errors import ErrorKind
 from .answers import RETRIED_ELSEWHERE, Sent
 from .calls import Call, remaining_s
 from .exchanges import ExchangeFailed
-from .pool import Pool
-from .runner import Runner, TryElsewhere, describe_error
+from .lanes import Lane, NotRun
+from .runner import Runner, describe_error
 from .upstream import Reply
 
 N_TRIES = 3
@@ -24,40 +25,32 @@
 
         :raises RequestFailure: with what is known of the outcome.
         """
-        failure: TryElsewhere | None = None
+        failure: NotRun | None = None
         for _ in range(N_TRIES):
-            pool = await self.wait_leader(call)
+            lane = await self.wait_leader(call)
             try:
-                return await self._attempt(call, pool)
-            except TryElsewhere as error:
+                return await self._attempt(call, lane)
+            except NotRun as error:
                 failure = error
-                self.log_retry(call, pool, error)
+                self.log_retry(call, lane, error)
             if remaining_s(call, self.clock) <= 0:
                 break
-        kind = failure.kind if failure else ErrorKind.OVERLOADED
-        text = failure.text if failure else "the primary took no write in time"
-        self.log_refusal(call, text, kind=kind.value)
-        raise RequestFailure(kind, f"{text}; come back")
+        raise self.give_up(call, failure, "the primary took no write in time")
 
-    async def _attempt(self, call: Call, pool: Pool) -> Reply:
-        pooled = await self.acquire(pool, call)
-        await self.check(pool, pooled, call)
-        prelude = pooled.make_prelude(call.values, call.needed)
-        requests = [*prelude, call.request]
+    async def _attempt(self, call: Call, lane: Lane) -> Reply:
+        work = self.make_work(call, call.request)
+        work = msgspec.structs.replace(work, is_checked=True)
         sent_at = self.clock()
         try:
-            replies = await self.exchange(
-                pool, pooled, requests, remaining_s(call, self.clock)
-            )
+            [reply] = (await self.run_work(lane, work)).replies
         except ExchangeFailed as failure:
-            raise self.fail(call, Sent.WRITE, failure.ending, str(failure)) from failure
-        reply = replies[-1]
-        self.settle(pool, pooled, call, replies, len(prelude))
+            text = str(failure)
+            raise self.fail(call, Sent.WRITE, failure.ending, text) from failure
         if reply.error is None:
-            self.note_leader(pool, reply, sent_at)
+            self.note_leader(lane, reply, sent_at)
             return reply
         if reply.error.kind is ErrorKind.READ_ONLY:
-            upstream = pool.upstream
+            upstream = lane.upstream
             self.samples.refuse(upstream.service, upstream.upstream_id)
         if reply.error.kind in RETRIED_ELSEWHERE:
             raise describe_error(reply)
