Test the platform's path: the real program before stand-ins, homes, store faults, evidence

Change: stand-ins of the databases, the store and promotion on loopback; the real program as a process before them (statements, bad input, stop, metrics, reload); homes, duties, outages of the store, samples and members in memory on a mock clock. A line just over 1 MiB was served when its end came with it: now TOOBIG (test_bad_input failed first).

--- a/celeryfold/commands/proxy.py
+++ b/celeryfold/commands/proxy.py
@@ -32,8 +32,6 @@
 log = logging.getLogger(__name__)
 
 SETTINGS_VARIABLE = "CELERYFOLD_BOOT"
-# Where the deploy file says that metrics are read.
-METRICS_PORT = 9464
 N_ALLOCATIONS_A_COLLECTION = 20_000
 
 
@@ -97,7 +95,7 @@
 
 def _list_page_addresses(settings: PlatformSettings) -> list[str]:
     host, _ = split_address(settings.probes)
-    return [settings.probes, f"{host}:{METRICS_PORT}"]
+    return [settings.probes, f"{host}:{settings.metrics_port}"]
 
 
 def _reload(path: Path, settings: PlatformSettings) -> None:
--- a/celeryfold/platform/lines.py
+++ b/celeryfold/platform/lines.py
@@ -59,13 +59,15 @@
         """
         while True:
             end = self._data.find(LINE_END, self._searched)
+            n_bytes = end if end >= 0 else len(self._data)
+            if n_bytes > MAX_LINE_BYTES:
+                text = f"a line is over {MAX_LINE_BYTES} bytes; send less"
+                raise LineTooLong(text)
             if end >= 0:
                 line = bytes(self._data[:end])
                 del self._data[: end + len(LINE_END)]
                 self._searched = 0
                 return line
-            if len(self._data) > MAX_LINE_BYTES:
-                raise LineTooLong(f"a line is over {MAX_LINE_BYTES} bytes; send less")
             self._searched = max(len(self._data) - 1, 0)
             data = await self._stream.receive_some(READ_BYTES)
             if not data:
--- a/celeryfold/platform/settings.py
+++ b/celeryfold/platform/settings.py
@@ -12,6 +12,9 @@
 from ..kernel.ids import InstanceId, PlaceId, RegionId
 from ..proxy.instance import ProxySettings
 
+# Where deploy/system.toml says that metrics are read.
+METRICS_PORT = 9464
+
 
 class PlatformSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Hold what the platform tells a process.
@@ -22,6 +25,7 @@
     :param store: address of the platform's store.
     :param promotions: address of the platform's machine interface.
     :param grace_s: seconds between the order to stop and the kill.
+    :param metrics_port: port of the page of metrics, on the probes' host.
     """
 
     instance: str
@@ -34,6 +38,7 @@
     store: str
     promotions: str
     grace_s: float
+    metrics_port: int = METRICS_PORT
 
     def make_proxy_settings(self) -> ProxySettings:
         """Return the settings of the instance."""
--- /dev/null
+++ b/celeryfold/platform/standins.py
@@ -0,0 +1,297 @@
+"""Stand-ins of the platform on real sockets: databases, the store, promotion."""
+
+from __future__ import annotations
+
+__all__ = ["PlatformStandin"]
+
+import base64
+from typing import Any
+from urllib.parse import parse_qs
+
+import msgspec
+import trio
+
+from ..exceptions import BadInput
+from ..kernel.ids import InstanceId, LeaseId, RequestId, ServiceId, UpstreamId
+from ..proxy.guardian import PromotionRefused
+from ..proxy.positions import LogPosition
+from ..proxy.statements import (
+    Demote,
+    Pause,
+    ReadStatus,
+    Request,
+    Reset,
+    Resume,
+    Statement,
+)
+from ..proxy.store import (
+    Expectation,
+    HistoryLost,
+    Item,
+    ItemWrite,
+    LeaseLost,
+    StoreConflict,
+)
+from ..proxy.upstream import ConnectFailed, Reply, UpstreamConnection, UpstreamError
+from ..standins.coordination import MemoryStore
+from ..standins.replicas import ReplicaSet
+from ..wire.messages import HttpRequest, HttpResponse
+from ..wire.server import ConnectionHandler, HttpServer
+from .lines import LineStream
+from .words import decode_position, decode_query, encode_error, encode_state
+
+_ORDERS: dict[str, Statement] = {
+    "RESET": Reset(),
+    "STATUS": ReadStatus(),
+    "RESUME": Resume(),
+}
+HEARTBEAT_S = 0.5
+
+
+class PlatformStandin:
+    """Serve one replicated database, the store and promotion on loopback."""
+
+    def __init__(self, service: str, n_databases: int = 3) -> None:
+        self.store = MemoryStore(answer_s=0.0)
+        self.replicas = ReplicaSet(ServiceId(service), n_databases)
+        self.http = HttpServer("127.0.0.1", 0, lambda: _PlatformHandler(self))
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Open all ports and register the databases."""
+        self.replicas.start(nursery)
+        await self.http.start(nursery)
+        for upstream_id in list(self.replicas.databases):
+            await self._start_database(nursery, upstream_id)
+        nursery.start_soon(self._register)
+
+    async def _start_database(
+        self, nursery: trio.Nursery, upstream_id: UpstreamId
+    ) -> None:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listeners[0].socket.getsockname()[1]
+        database = self.replicas.databases[upstream_id]
+        database.upstream = msgspec.structs.replace(
+            database.upstream, address=f"127.0.0.1:{port}", place="here"
+        )
+
+        async def serve(stream: trio.SocketStream) -> None:
+            await _serve_database(self.replicas, upstream_id, stream)
+
+        nursery.start_soon(trio.serve_listeners, serve, listeners)
+
+    async def _register(self) -> None:
+        n_beats = 0
+        while True:
+            n_beats += 1
+            for upstream_id, database in self.replicas.databases.items():
+                upstream = database.upstream
+                entry = {
+                    "service": upstream.service,
+                    "address": upstream.address,
+                    "zone": upstream.place,
+                    "version": "v1",
+                    "slots": upstream.n_slots,
+                    "state": "draining" if upstream.is_leaving else "ready",
+                    "cold_ms": 0,
+                    "db_role": database.role.value,
+                    "seq_no": n_beats,
+                    "born": upstream.born_ms,
+                }
+                value = msgspec.json.encode(entry)
+                self.store.write(f"servers/{upstream_id}", value)
+            await trio.sleep(HEARTBEAT_S)
+
+    def publish(self, version: int, databases: dict[str, str]) -> None:
+        """Write a configuration.
+
+        :param databases: the kind of each database name.
+        """
+        routes = [
+            {
+                "name": f"r-{host}",
+                "host": host,
+                "prefix": "/",
+                "type": kind,
+                "timeout_ms": 800,
+                "target_latency_ms": 1500,
+                "priority": 1,
+                "service": self.replicas.service,
+                "attempts": 2,
+                "max_staleness_ms": 1500,
+            }
+            for host, kind in databases.items()
+        ]
+        services = [
+            {"name": self.replicas.service, "max_conns": 16, "sync_replicas": 1}
+        ]
+        body = {"version": version, "routes": routes, "services": services}
+        self.store.write("op/config", msgspec.json.encode(body))
+
+
+async def _serve_database(
+    replicas: ReplicaSet, upstream_id: UpstreamId, stream: trio.SocketStream
+) -> None:
+    lines = LineStream(stream)
+    try:
+        connection = await _start_session(replicas, upstream_id, lines)
+        if connection is not None:
+            await _serve_session(connection, lines)
+    except trio.BrokenResourceError:
+        # The proxy closes connections as it likes.
+        return
+    finally:
+        await lines.close()
+
+
+async def _start_session(
+    replicas: ReplicaSet, upstream_id: UpstreamId, lines: LineStream
+) -> UpstreamConnection | None:
+    start = (await lines.receive() or b"").decode().split(" ")
+    upstream = replicas.databases[upstream_id].upstream
+    if start[:2] != ["START", upstream.service] or start[3:] not in ([], [upstream_id]):
+        await lines.send([f"ERROR WRONGNODE {upstream_id}"])
+        return None
+    try:
+        connection = await replicas.connect(upstream)
+    except ConnectFailed as failure:
+        await lines.send([f"ERROR TOOMANYCON {failure}"])
+        return None
+    await lines.send(["READY I 1.0"])
+    return connection
+
+
+async def _serve_session(connection: UpstreamConnection, lines: LineStream) -> None:
+    while True:
+        line = await lines.receive()
+        if line is None:
+            await connection.close()
+            return
+        word, request_id, text = line.decode().split(" ", 2)
+        if word != "QUERY":
+            raise BadInput(f"the stand-in knows no {word}; send QUERY")
+        await connection.send([_decode_request(request_id, text)])
+        await lines.send(_encode_reply(await connection.receive()))
+
+
+def _decode_request(request_id: str, text: str) -> Request:
+    since: LogPosition | None = None
+    if text.startswith("SINCE "):
+        _, position, text = text.split(" ", 2)
+        since = decode_position(position)
+    own = RequestId("" if request_id == "-" else request_id)
+    verb, _, rest = text.partition(" ")
+    if verb == "PAUSE":
+        return Request(Pause(int(rest)), own, since)  # type: ignore[arg-type]
+    if verb == "DEMOTE":
+        return Request(Demote(int(rest)), own, since)  # type: ignore[arg-type]
+    if verb in _ORDERS:
+        return Request(_ORDERS[verb], own, since)
+    return Request(decode_query(text), own, since)
+
+
+def _encode_reply(reply: Reply) -> list[str]:
+    lines = [f"ROW {row}" for row in reply.rows]
+    if reply.status is not None:
+        s = reply.status
+        lines = [f"ROW {s.role.value} {s.term} {s.received} {s.held_term} 0 0 1"]
+    if reply.error is not None:
+        lines = [encode_error(UpstreamError(reply.error.kind, reply.error.text))]
+    else:
+        lines.append(f"COMPLETE {reply.signature or '-'}")
+    lines.append(f"READY {encode_state(reply.state)} {reply.position or '-'}")
+    return lines
+
+
+class _PlatformHandler(ConnectionHandler):
+    """Answer the store's calls and the promotion call."""
+
+    def __init__(self, owner: PlatformStandin) -> None:
+        self._owner = owner
+        self._store = owner.store
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Return the answer to one call."""
+        query = {key: values[0] for key, values in parse_qs(request.query).items()}
+        body = msgspec.json.decode(request.body) if request.body else {}
+        try:
+            return await self._answer(request, query, body)
+        except StoreConflict:
+            return HttpResponse(412)
+        except LeaseLost:
+            return HttpResponse(404)
+        except HistoryLost:
+            return HttpResponse(410)
+        except PromotionRefused:
+            return HttpResponse(409)
+
+    async def _answer(
+        self, request: HttpRequest, query: dict[str, str], body: Any
+    ) -> HttpResponse:
+        call, _, rest = request.path.strip("/").partition("/")
+        match call:
+            case "kv-key":
+                item = await self._store.get(query["key"])
+                if item is None:
+                    return HttpResponse(404)
+                return HttpResponse.from_object(_encode_item(item))
+            case "kv-range":
+                listed = await self._store.list_items(query["prefix"])
+                items = [_encode_item(item) for item in listed.items]
+                answer = {"items": items, "has_more": False, "as_of": listed.as_of}
+                return HttpResponse.from_object(answer)
+            case "kv-watch":
+                return await self._watch(query)
+            case "kv-txn":
+                return await self._commit(body)
+            case "kv-lease":
+                lease = await self._store.grant_lease(body["ttl_ms"] / 1000)
+                granted = {"lease": lease.lease_id, "ttl_ms": body["ttl_ms"]}
+                return HttpResponse.from_object(granted)
+            case "kv-keep":
+                await self._store.renew_lease(LeaseId(int(rest)))
+                return HttpResponse.from_object({"ttl_ms": 0})
+            case "kv-lease-end":
+                await self._store.end_lease(LeaseId(int(rest)))
+                return HttpResponse.from_object({})
+            case "promote":
+                await self._promote(body)
+                return HttpResponse.from_object({})
+        return HttpResponse(404)
+
+    async def _watch(self, query: dict[str, str]) -> HttpResponse:
+        prefix, after = query.get("prefix", ""), int(query["after"])
+        wait_s = int(query["wait_ms"]) / 1000
+        changes = await self._store.watch(prefix, after, wait_s)
+        events = [
+            _encode_item(change.item)
+            if change.item is not None
+            else {"key": change.key, "revision": change.revision, "deleted": True}
+            for change in changes.changes
+        ]
+        return HttpResponse.from_object({"events": events, "as_of": changes.as_of})
+
+    async def _commit(self, body: Any) -> HttpResponse:
+        expected = [Expectation(e["key"], e["revision"]) for e in body["expected_rev"]]
+        writes = [
+            ItemWrite(w["key"], base64.b64decode(w["value"]), w["lease"] or None)
+            for w in body["writes"]
+        ]
+        revision = await self._store.commit(expected, writes, body["deletes"])
+        return HttpResponse.from_object({"revision": revision})
+
+    async def _promote(self, body: Any) -> None:
+        # Headers are not passed to handlers; each call counts as of a newer holder.
+        token = self._owner.replicas.tokens_seen + 1
+        await self._owner.replicas.promote(
+            body["service"], body["id"], InstanceId("holder"), token
+        )
+
+
+def _encode_item(item: Item) -> dict[str, str | int]:
+    return {
+        "key": item.key,
+        "value": base64.b64encode(item.value).decode("ascii"),
+        "revision": item.revision,
+        "created": item.created,
+        "lease": 0,
+    }
--- /dev/null
+++ b/celeryfold/platform/tests/test_process.py
@@ -0,0 +1,199 @@
+"""The real program serves clients before stand-ins of the platform on loopback."""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import msgspec
+import trio
+
+from celeryfold.bench.processes import find_free_ports
+from celeryfold.platform.lines import MAX_LINE_BYTES, LineStream, open_lines
+from celeryfold.platform.standins import PlatformStandin
+
+START_TIMEOUT_S = 20.0
+STEP_TIMEOUT_S = 10.0
+DATABASES = {"p": "primary", "b": "bounded_staleness", "o": "read_your_writes"}
+
+
+class Client:
+    """A client that speaks lines."""
+
+    def __init__(self, lines: LineStream) -> None:
+        self.lines = lines
+        self.n_sent = 0
+
+    @classmethod
+    async def open(cls, port: int, database: str) -> Client:
+        client = cls(await open_lines("127.0.0.1", port))
+        await client.lines.send([f"START {database} someone"])
+        assert await client.receive() == "READY I -"
+        return client
+
+    async def receive(self) -> str:
+        with trio.fail_after(STEP_TIMEOUT_S):
+            line = await self.lines.receive()
+        assert line is not None
+        return line.decode()
+
+    async def ask(self, text: str) -> list[str]:
+        """Return the lines that answer a query, the last one READY."""
+        self.n_sent += 1
+        await self.lines.send([f"QUERY c{id(self)}n{self.n_sent} {text}"])
+        return await self.receive_answer()
+
+    async def receive_answer(self) -> list[str]:
+        lines = [await self.receive()]
+        while not lines[-1].startswith("READY"):
+            lines.append(await self.receive())
+        return lines
+
+
+def write_settings(folder: Path, standin: PlatformStandin, ports: list[int]) -> Path:
+    clients, probes, peers = (f"127.0.0.1:{port}" for port in ports[:3])
+    settings = {
+        "instance": "proxy-1",
+        "data_centre": "here",
+        "regions": {"here": "region"},
+        "clients": clients,
+        "probes": probes,
+        "peers": peers,
+        "metrics_port": ports[3],
+        "seeds": [peers],
+        "store": f"127.0.0.1:{standin.http.port}",
+        "promotions": f"127.0.0.1:{standin.http.port}",
+        "grace_s": 2,
+    }
+    path = folder / "settings.json"
+    path.write_bytes(msgspec.json.encode(settings))
+    return path
+
+
+async def wait_ready(port: int) -> None:
+    from celeryfold.wire.client import HttpClient, Unanswered, Unreachable
+
+    client = HttpClient(f"127.0.0.1:{port}")
+    with trio.fail_after(START_TIMEOUT_S):
+        while True:
+            with contextlib.suppress(Unreachable, Unanswered):
+                if (await client.request("GET", "/readiness")).status == 200:
+                    return
+            await trio.sleep(0.05)
+
+
+def play(
+    folder: Path,
+    story: Callable[[PlatformStandin, list[int], subprocess.Popen], Awaitable[None]],
+) -> str:
+    """Run a story before a process of the program; return what it logged."""
+    ports = find_free_ports(4)
+    output = folder / "output"
+
+    async def run() -> None:
+        standin = PlatformStandin("orders")
+        async with trio.open_nursery() as nursery:
+            await standin.start(nursery)
+            standin.publish(7, DATABASES)
+            settings = write_settings(folder, standin, ports)
+            command = [sys.executable, "-m", "celeryfold", "proxy"]
+            environment = {**os.environ, "CELERYFOLD_BOOT": str(settings)}
+            with output.open("wb") as file:
+                process = subprocess.Popen(command, stdout=file, env=environment)
+                try:
+                    await wait_ready(ports[1])
+                    await story(standin, ports, process)
+                finally:
+                    process.kill()
+                    process.wait()
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+    return output.read_text()
+
+
+def test_clients_are_served_and_a_stop_cuts_nothing(tmp_path):
+    async def story(standin, ports, process):
+        client = await Client.open(ports[0], "o")
+        written = await client.ask("WRITE k1 hello")
+        assert written[0].startswith("COMPLETE orders-")
+        read = await client.ask("READ k1")
+        assert read[0] == "ROW hello"
+        assert read[-1] == "READY I -"
+        assert await client.ask("SET zone x") == ["COMPLETE -", "READY I -"]
+        assert await client.ask("PREPARE s READ q1") == ["COMPLETE -", "READY I -"]
+        assert (await client.ask("EXECUTE s k1"))[0] == "ROW hello"
+        assert await client.ask("BEGIN") == ["COMPLETE -", "READY T -"]
+        assert (await client.ask("WRITE k1 again"))[-1] == "READY T -"
+        process.send_signal(signal.SIGTERM)
+        await trio.sleep(0.2)
+        assert (await client.ask("COMMIT"))[-1] == "READY I -"
+        with trio.fail_after(STEP_TIMEOUT_S):
+            assert await client.lines.receive() is None
+            assert await trio.to_thread.run_sync(process.wait) == 0
+        assert len(standin.replicas.acknowledged) == 2
+
+    logged = play(tmp_path, story)
+    for text in ("instance started", "instance stopping", "instance stopped"):
+        assert text in logged
+
+
+def test_bad_input_gets_a_clear_error_and_harms_nobody(tmp_path):
+    async def story(standin, ports, process):
+        client = await Client.open(ports[0], "p")
+        for text in ("NONSENSE", "READ", "WRITE k", "SINCE 1.1 READ k", "EXECUTE s"):
+            answer = await client.ask(text)
+            assert answer[0].startswith("ERROR MALFORMED "), text
+            assert answer[-1] == "READY I -"
+        assert (await client.ask("EXECUTE never k"))[0].startswith("ERROR NOSTMT")
+        assert (await client.ask("COMMIT"))[0].startswith("ERROR MALFORMED")
+        await client.lines.send(["WHAT is this"])
+        assert (await client.receive_answer())[0].startswith("ERROR MALFORMED")
+        await client.lines.send(["QUERY a READ k\rQUERY b WRITE k smuggled"])
+        assert (await client.receive_answer())[0].startswith("ERROR MALFORMED")
+        await client.lines.send(["QUERY x1 WRITE k 1", "QUERY x2 READ k"])
+        assert (await client.receive_answer())[0].startswith("COMPLETE")
+        assert (await client.receive_answer())[0] == "ROW 1"
+        unknown = await open_lines("127.0.0.1", ports[0])
+        await unknown.send(["START nowhere someone"])
+        with trio.fail_after(STEP_TIMEOUT_S):
+            refused = await unknown.receive()
+            assert refused is not None
+            assert refused.startswith(b"ERROR NODB ")
+            assert await unknown.receive() is None
+        long = await Client.open(ports[0], "p")
+        await long.lines.send(["QUERY y READ " + "k" * MAX_LINE_BYTES])
+        assert (await long.receive_answer())[0].startswith("ERROR TOOBIG")
+        leaver = await Client.open(ports[0], "p")
+        await leaver.ask("BEGIN")
+        await leaver.ask("WRITE k left")
+        await leaver.lines.close()
+        split = await Client.open(ports[0], "p")
+        for part in (b"QUERY z1 RE", b"AD k\r", b"\n"):
+            await split.lines._stream.send_all(part)
+            await trio.sleep(0.02)
+        assert (await split.receive_answer())[0] == "ROW 1"
+
+    play(tmp_path, story)
+
+
+def test_metrics_are_served_and_settings_are_checked_again(tmp_path):
+    async def story(standin, ports, process):
+        from celeryfold.wire.client import HttpClient
+
+        client = await Client.open(ports[0], "p")
+        await client.ask("WRITE k 1")
+        page = await HttpClient(f"127.0.0.1:{ports[3]}").request("GET", "/metrics")
+        assert b"celeryfold_statement_succeeded_total 1.0" in page.body
+        assert b"celeryfold_statement_duration_seconds_bucket" in page.body
+        (tmp_path / "settings.json").write_text('{"instance": 5}')
+        process.send_signal(signal.SIGHUP)
+        await trio.sleep(0.3)
+        assert (await client.ask("READ k"))[0] == "ROW 1"
+
+    assert "settings not reloaded" in play(tmp_path, story)
--- /dev/null
+++ b/celeryfold/proxy/tests/test_evidence.py
@@ -0,0 +1,179 @@
+"""Samples, members and the table of answers hold what reads and promotions rest on."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from celeryfold.kernel.errors import ANSWERS, Ran
+from celeryfold.kernel.ids import PlaceId, Position, ServiceId, Term, UpstreamId
+from celeryfold.proxy.answers import ENDINGS, Ending, Sent
+from celeryfold.proxy.calls import OwnWrite
+from celeryfold.proxy.directory import MISSING_KEPT_S, Directory, Listing
+from celeryfold.proxy.members import (
+    AckSet,
+    Held,
+    Member,
+    choose_caught_up,
+    choose_successor,
+)
+from celeryfold.proxy.positions import LogPosition
+from celeryfold.proxy.reads import find_needed
+from celeryfold.proxy.samples import LEADER_KEPT_S, Sample, SampleBook
+from celeryfold.proxy.upstream import Upstream
+
+SERVICE = ServiceId("orders")
+NAMES = [UpstreamId(f"u{n}") for n in range(4)]
+
+
+def at(term: int, number: int) -> LogPosition:
+    return LogPosition(Term(term), Position(number))
+
+
+class Clock:
+    """A clock that a test sets."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def test_every_way_to_end_has_an_answer_and_promises_are_true():
+    assert set(ENDINGS) == {(sent, ending) for sent in Sent for ending in Ending}
+    may_have_effect = {Sent.WRITE, Sent.COMMIT_OF_WRITES}
+    for (sent, _), kind in ENDINGS.items():
+        expected = Ran.UNKNOWN if sent in may_have_effect else Ran.NO
+        assert ANSWERS[kind].ran is expected
+
+
+def test_a_bound_is_the_oldest_sample_that_is_young_enough():
+    clock = Clock()
+    book = SampleBook(clock)
+    for number, taken_at in enumerate([96.0, 97.0, 98.0, 99.0]):
+        book.add(SERVICE, Sample(NAMES[0], at(1, number), taken_at))
+    bound = book.find_bound(SERVICE, 97.5)
+    assert bound is not None
+    assert bound.position == at(1, 2)
+    assert book.find_bound(SERVICE, 99.5) is None
+
+
+def test_an_old_term_bounds_nothing_once_a_newer_is_known():
+    clock = Clock()
+    book = SampleBook(clock)
+    book.add(SERVICE, Sample(NAMES[0], at(1, 50), 98.0))
+    book.add(SERVICE, Sample(NAMES[1], at(2, 40), 99.0))
+    bound = book.find_bound(SERVICE, 97.0)
+    assert bound is not None
+    assert bound.position == at(2, 40)
+
+
+def test_a_primary_is_forgotten_when_it_denies_or_is_silent():
+    clock = Clock()
+    book = SampleBook(clock)
+    book.add(SERVICE, Sample(NAMES[0], at(1, 1), 100.0))
+    assert book.find_leader(SERVICE) == NAMES[0]
+    clock.now += LEADER_KEPT_S + 0.1
+    assert book.find_leader(SERVICE) is None
+    book.add(SERVICE, Sample(NAMES[0], at(1, 1), clock.now))
+    clock.now += 0.1
+    book.refuse(SERVICE, NAMES[0])
+    assert book.find_leader(SERVICE) is None
+    book.add(SERVICE, Sample(NAMES[1], at(2, 1), clock.now + 0.1))
+    assert book.find_leader(SERVICE) == NAMES[1]
+
+
+def test_late_news_of_an_old_sample_changes_nothing():
+    book = SampleBook(Clock())
+    book.add(SERVICE, Sample(NAMES[1], at(2, 1), 99.9))
+    book.add(SERVICE, Sample(NAMES[0], at(1, 9), 99.0))
+    assert book.find_leader(SERVICE) == NAMES[1]
+
+
+def test_own_writes_are_needed_until_a_sample_covers_them():
+    own = OwnWrite(at(1, 70), 50.0)
+    assert find_needed(Sample(NAMES[0], at(1, 60), 49.0), own) == at(1, 70)
+    assert find_needed(Sample(NAMES[0], at(1, 65), 51.0), own) == at(1, 65)
+    assert find_needed(Sample(NAMES[1], at(2, 60), 51.0), own) == at(2, 60)
+    assert find_needed(Sample(NAMES[0], at(1, 60), 49.0), None) == at(1, 60)
+
+
+def make_upstream(name: UpstreamId, born_ms: int = 1) -> Upstream:
+    return Upstream(name, SERVICE, "10.0.0.1:1", PlaceId("a"), 2, born_ms)
+
+
+def test_a_missing_upstream_is_kept_for_a_moment():
+    clock = Clock()
+    directory = Directory(clock)
+    both = (make_upstream(NAMES[0]), make_upstream(NAMES[1]))
+    directory.adopt(Listing(5, both), "store")
+    directory.adopt(Listing(6, both[:1]), "store")
+    directory.expire()
+    assert len(directory.list_all()) == 2
+    clock.now += MISSING_KEPT_S + 0.1
+    directory.expire()
+    assert directory.list_all() == [both[0]]
+    assert not directory.adopt(Listing(5, both), "peer")
+
+
+acks = st.lists(
+    st.tuples(st.sampled_from([1, 2, 3]), st.integers(1, 3)), min_size=1, max_size=12
+)
+
+
+@given(acks, st.sets(st.sampled_from([1, 2, 3])))
+def test_whoever_is_promoted_holds_every_acknowledged_commit(history, silent):
+    """Each commit is received by one replica at least; some replicas do not answer."""
+    received = {1: 0, 2: 0, 3: 0}
+    acknowledged = 0
+    for replica, n_commits in history:
+        acknowledged += n_commits
+        received[replica] = acknowledged
+    ack_set = AckSet()
+    ack_set.update([make_upstream(name) for name in NAMES], 0.0)
+    required = [m for m in ack_set.members if m.upstream_id != NAMES[0]]
+    held = {
+        Member(NAMES[number], 1): Held(at(1, n), False, PlaceId("a"))
+        for number, n in received.items()
+        if number not in silent
+    }
+    chosen = choose_successor(required, held)
+    if silent:
+        assert chosen is None
+    else:
+        assert chosen is not None
+        assert held[chosen].received >= at(1, acknowledged)
+
+
+def test_one_that_stays_is_preferred_only_where_nothing_is_lost():
+    leaving, staying = Member(NAMES[1], 1), Member(NAMES[2], 1)
+    place = PlaceId("a")
+    held = {leaving: Held(at(1, 9), True, place), staying: Held(at(1, 9), False, place)}
+    assert choose_successor(held, held) == staying
+    held[leaving] = Held(at(1, 10), True, place)
+    assert choose_successor(held, held) == leaving
+    assert choose_caught_up(at(1, 10), held) is None
+    held[staying] = Held(at(1, 10), False, place)
+    assert choose_caught_up(at(1, 10), held) == staying
+
+
+def test_a_member_is_dropped_only_when_another_reached_what_came_after_it():
+    ack_set = AckSet()
+    ack_set.update([make_upstream(name) for name in NAMES[:3]], 0.0)
+    ack_set.update([make_upstream(name) for name in NAMES[:2]], 10.0)
+    gone = Member(NAMES[2], 1)
+    leader = NAMES[0]
+    reached = {NAMES[0]: at(1, 99), NAMES[1]: at(1, 50)}
+    assert not ack_set.settle(at(1, 50), 9.0, reached, leader)
+    assert not ack_set.settle(at(1, 51), 11.0, reached, leader)
+    assert ack_set.settle(at(1, 50), 11.0, reached, leader) == [gone]
+    assert gone not in ack_set.members
+
+
+def test_one_that_came_back_empty_is_another_member():
+    ack_set = AckSet()
+    ack_set.update([make_upstream(NAMES[0], 1)], 0.0)
+    assert ack_set.update([make_upstream(NAMES[0], 2)], 5.0)
+    assert ack_set.list_missing() == [Member(NAMES[0], 1)]
+    assert len(ack_set.members) == 2
--- /dev/null
+++ b/celeryfold/proxy/tests/test_homes.py
@@ -0,0 +1,175 @@
+"""Homes serve other instances, keep transactions whole and hold to the limit."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import pytest
+import trio
+from hypothesis import given
+from hypothesis import strategies as st
+
+from celeryfold.kernel.errors import ErrorKind
+from celeryfold.kernel.ids import InstanceId, PlaceId, RegionId, ServiceId, UpstreamId
+from celeryfold.proxy.home import ABANDONED_S, RemoteLane
+from celeryfold.proxy.messages import Peer
+from celeryfold.proxy.placement import (
+    N_RESERVED,
+    choose_homes,
+    divide_connections,
+)
+from celeryfold.proxy.routes import Consistency
+from celeryfold.proxy.statements import Begin, Commit, Read, Rollback, Write
+from celeryfold.proxy.upstream import TransactionState, Upstream
+from celeryfold.standins.proxies import ProxyWorld
+
+from .test_sessions import get_kind, play
+
+PRIMARY = Consistency.PRIMARY
+REGIONS = {PlaceId(f"place-{n}"): RegionId(f"region-{n // 2}") for n in range(4)}
+FIRST = UpstreamId("orders-0")
+
+
+def make_peers(n_peers: int) -> list[Peer]:
+    return [
+        Peer(InstanceId(f"i{n}"), f"10.0.0.{n}:1", PlaceId(f"place-{n % 4}"))
+        for n in range(n_peers)
+    ]
+
+
+def make_upstream() -> Upstream:
+    return Upstream(FIRST, ServiceId("orders"), "10.1.0.1:1", PlaceId("place-1"), 2, 1)
+
+
+@given(st.integers(1, 400), st.integers(3, 200))
+def test_all_shares_together_stay_below_the_limit(n_peers, n_connections):
+    homes = choose_homes(make_upstream(), make_peers(n_peers), REGIONS, n_connections)
+    shares = [
+        divide_connections(n_connections, len(homes), rank)
+        for rank in range(len(homes))
+    ]
+    assert min(shares) >= 1
+    assert sum(shares) <= max(n_connections - N_RESERVED, len(homes))
+    assert len(homes) == 1 or sum(shares) <= n_connections - N_RESERVED
+
+
+@given(st.permutations(make_peers(30)))
+def test_everyone_computes_the_same_homes_near_the_upstream(peers):
+    homes = choose_homes(make_upstream(), peers, REGIONS, 46)
+    assert homes == choose_homes(make_upstream(), make_peers(30), REGIONS, 46)
+    assert {home.place for home in homes} == {"place-1"}
+
+
+def test_a_few_instances_connect_directly():
+    assert len(choose_homes(make_upstream(), make_peers(6), REGIONS, 16)) == 6
+
+
+def crowd(world: ProxyWorld) -> None:
+    """Leave fewer than two connections an instance, so that homes are needed."""
+    world.replicas.n_connections = 5
+    world.n_table_connections = 5
+
+
+def play_crowded(story: Callable[[ProxyWorld], Awaitable[None]]) -> ProxyWorld:
+    world = ProxyWorld()
+    crowd(world)
+    return play(story, world)
+
+
+def find_entry(world: ProxyWorld) -> int:
+    """Return an instance that goes to the first database through a home."""
+    for number, instance in enumerate(world.instances):
+        if isinstance(instance.lanes.find(FIRST), RemoteLane):
+            return number
+    raise AssertionError("every instance connects directly")
+
+
+def test_statements_and_transactions_run_through_a_home():
+    async def story(world: ProxyWorld) -> None:
+        number = find_entry(world)
+        session = world.open_session(number, PRIMARY)
+        assert (await world.run(session, Write("a 1"))).error is None
+        assert (await world.run(session, Read("a"))).rows == ("1",)
+        await world.run(session, Begin())
+        for step in range(3):
+            assert (await world.run(session, Write(f"b {step}"))).error is None
+        assert (await world.run(session, Commit())).state is TransactionState.IDLE
+        await world.run(session, Begin())
+        await world.run(session, Write("b gone"))
+        await world.run(session, Rollback())
+        assert (await world.run(session, Read("b"))).rows == ("2",)
+
+    world = play_crowded(story)
+    [_, entry] = [entry for _, entry in world.replicas.acknowledged]
+    assert len(entry.writes) == 3
+
+
+def test_a_home_undoes_the_transaction_of_an_entry_that_is_gone():
+    async def story(world: ProxyWorld) -> None:
+        number = find_entry(world)
+        session = world.open_session(number, PRIMARY)
+        await world.run(session, Begin())
+        await world.run(session, Write("a 1"))
+        world.kill(number)
+        await trio.sleep(ABANDONED_S + 2.0)
+        assert not any(instance.home.n_busy for instance in world.instances)
+
+    assert not play_crowded(story).replicas.acknowledged
+
+
+def test_a_home_that_dies_aborts_transactions_and_is_replaced():
+    async def story(world: ProxyWorld) -> None:
+        number = find_entry(world)
+        session = world.open_session(number, PRIMARY)
+        await world.run(session, Begin())
+        await world.run(session, Write("a 1"))
+        homes = world.instances[number].lanes._list_other_homes(FIRST)
+        assert len(homes) == 1
+        world.kill(int(homes[0].instance_id.removeprefix("instance-")))
+        lost = await world.run(session, Write("a 2"))
+        assert get_kind(lost) is ErrorKind.TRANSACTION_LOST
+        await world.run(session, Rollback())
+        await trio.sleep(8.0)
+        fresh = world.open_session(number, PRIMARY)
+        assert (await world.run(fresh, Write("a 3"))).error is None
+
+    world = play_crowded(story)
+    assert [e.writes[0][1] for _, e in world.replicas.acknowledged] == ["3"]
+
+
+def test_an_instance_that_is_no_home_says_so_and_another_is_tried():
+    async def story(world: ProxyWorld) -> None:
+        number = find_entry(world)
+        lane = world.instances[number].lanes.find(FIRST)
+        assert isinstance(lane, RemoteLane)
+        [home] = lane._list_homes()
+        stranger = next(
+            instance.peers.me
+            for other, instance in enumerate(world.instances)
+            if other != number and instance.peers.me.instance_id != home.instance_id
+        )
+        lane._list_homes = lambda: [stranger, home]
+        for _ in range(10):
+            session = world.open_session(number, PRIMARY)
+            assert (await world.run(session, Read("a"))).error is None
+
+    play_crowded(story)
+
+
+def test_no_home_means_refused_as_not_run():
+    async def story(world: ProxyWorld) -> None:
+        number = find_entry(world)
+        lane = world.instances[number].lanes.find(FIRST)
+        assert isinstance(lane, RemoteLane)
+        lane._list_homes = lambda: []
+        answer = await world.run(world.open_session(number, PRIMARY), Write("a 1"))
+        assert get_kind(answer) is ErrorKind.NOT_RUN
+
+    assert not play_crowded(story).replicas.runs
+
+
+@pytest.mark.parametrize("n_homes", [1, 3, 7])
+def test_the_remainder_goes_to_the_first_homes(n_homes):
+    shares = [divide_connections(46, n_homes, rank) for rank in range(n_homes)]
+    assert sum(shares) == 44
+    assert shares == sorted(shares, reverse=True)
--- a/celeryfold/proxy/tests/test_sessions.py
+++ b/celeryfold/proxy/tests/test_sessions.py
@@ -30,9 +30,11 @@
 BOUNDED = Consistency.BOUNDED
 
 
-def play(story: Callable[[ProxyWorld], Awaitable[None]], **sizes: int) -> ProxyWorld:
-    """Run a story in a fresh world on a mock clock."""
-    world = ProxyWorld(**sizes)
+def play(
+    story: Callable[[ProxyWorld], Awaitable[None]], world: ProxyWorld | None = None
+) -> ProxyWorld:
+    """Run a story in a world, a fresh one if none is given, on a mock clock."""
+    world = world or ProxyWorld()
 
     async def run() -> None:
         async with trio.open_nursery() as nursery:
--- /dev/null
+++ b/celeryfold/proxy/tests/test_store_faults.py
@@ -0,0 +1,232 @@
+"""Configuration, upstreams and duties hold through the store's outages."""
+
+from __future__ import annotations
+
+import msgspec
+import trio
+import trio.testing
+
+from celeryfold.kernel.ids import InstanceId, UpstreamId
+from celeryfold.proxy.leases import LEASE_S, Duty, DutyLost, LeaseKeeper
+from celeryfold.proxy.routes import Consistency
+from celeryfold.proxy.statements import Read, Write
+from celeryfold.standins.coordination import MemoryStore
+from celeryfold.standins.proxies import MemoryDecoder, ProxyWorld, make_table
+
+from .test_failover import FIRST, check_nothing_lost, wait_written
+from .test_sessions import play
+
+PRIMARY = Consistency.PRIMARY
+KEY = "celeryfold/duties/orders"
+
+
+def list_versions(world: ProxyWorld) -> list[int]:
+    return [instance.routes.version for instance in world.instances]
+
+
+def test_a_configuration_is_in_force_everywhere_within_seconds():
+    async def story(world: ProxyWorld) -> None:
+        world.publish(5)
+        await trio.sleep(2.0)
+        assert list_versions(world) == [5, 5, 5]
+
+    play(story)
+
+
+def test_no_instance_goes_back_to_an_older_configuration():
+    async def story(world: ProxyWorld) -> None:
+        world.publish(9)
+        await trio.sleep(2.0)
+        world.publish(4)
+        await trio.sleep(12.0)
+        assert list_versions(world) == [9, 9, 9]
+
+    play(story)
+
+
+def test_an_instance_without_the_store_hears_of_changes_from_peers():
+    async def story(world: ProxyWorld) -> None:
+        world.instances[1].watcher._is_needed = lambda: False
+        world.publish(5)
+        await trio.sleep(3.0)
+        assert list_versions(world) == [5, 5, 5]
+
+    play(story)
+
+
+def test_changes_behind_a_lost_history_are_found():
+    async def story(world: ProxyWorld) -> None:
+        world.store.is_down = True
+        await trio.sleep(6.0)
+        world.publish(5)
+        world.store.forget_history()
+        world.store.is_down = False
+        await trio.sleep(3.0)
+        assert list_versions(world) == [5, 5, 5]
+
+    play(story)
+
+
+def test_statements_are_served_through_an_outage_in_which_entries_lapse():
+    async def story(world: ProxyWorld) -> None:
+        world.store.is_down = True
+        for name in world.replicas.databases:
+            world.store.delete(f"{MemoryDecoder.upstream_prefix}{name}")
+        await trio.sleep(10.0)
+        session = world.open_session(0, PRIMARY)
+        assert (await world.run(session, Write("a 1"))).error is None
+        world.store.is_down = False
+        await trio.sleep(4.0)
+        assert (await world.run(session, Read("a"))).rows == ("1",)
+        assert len(world.instances[0].directory.list_all()) == 3
+
+    play(story)
+
+
+def test_an_unreadable_configuration_or_entry_harms_nothing():
+    async def story(world: ProxyWorld) -> None:
+        world.store.write(MemoryDecoder.table_key, b"\xff nonsense")
+        world.store.write(f"{MemoryDecoder.upstream_prefix}stranger", b"{}")
+        await trio.sleep(3.0)
+        assert list_versions(world) == [1, 1, 1]
+        session = world.open_session(0, PRIMARY)
+        assert (await world.run(session, Write("a 1"))).error is None
+        table = make_table(3, [world.service])
+        world.store.write(MemoryDecoder.table_key, msgspec.json.encode(table))
+        await trio.sleep(2.0)
+        assert list_versions(world) == [3, 3, 3]
+
+    play(story)
+
+
+def test_a_leaving_upstream_gets_no_reads():
+    async def story(world: ProxyWorld) -> None:
+        name = UpstreamId("orders-1")
+        database = world.replicas.databases[name]
+        database.upstream = msgspec.structs.replace(database.upstream, is_leaving=True)
+        await trio.sleep(3.0)
+        n_before = len(world.replicas.runs)
+        for number in range(3):
+            session = world.open_session(number, Consistency.BOUNDED)
+            for _ in range(5):
+                assert (await world.run(session, Read("a"))).error is None
+        after = world.replicas.runs[n_before:]
+        assert after
+        assert all(run.upstream != name for run in after)
+
+    play(story)
+
+
+def test_a_primary_is_replaced_after_an_outage_of_the_store():
+    async def story(world: ProxyWorld) -> None:
+        world.store.is_down = True
+        world.replicas.crash(FIRST, is_silent=True)
+        await trio.sleep(6.0)
+        assert not world.replicas.promotions
+        world.store.is_down = False
+        await wait_written(world, 1, 12.0)
+
+    check_nothing_lost(play(story))
+
+
+def run_with_duties(story) -> None:
+    """Run a story with two instances that want one duty."""
+
+    async def run() -> None:
+        store = MemoryStore()
+        async with trio.open_nursery() as nursery:
+            duties = []
+            for name in ("one", "two"):
+                keeper = LeaseKeeper(store, trio.current_time)
+                nursery.start_soon(keeper.run)
+                holder = InstanceId(name)
+                clock = trio.current_time
+                duties.append(Duty(KEY, holder, store, keeper, clock))
+            await story(store, *duties)
+            nursery.cancel_scope.cancel()
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_one_instance_holds_a_duty_and_tokens_rise():
+    async def story(store: MemoryStore, one: Duty, two: Duty) -> None:
+        await one.take(None)
+        first = one.use_token()
+        await trio.sleep(3 * LEASE_S)
+        assert one.use_token() == first
+        try:
+            await two.take(None)
+        except DutyLost:
+            pass
+        assert not two.is_held
+        await one.renew_token()
+        assert one.use_token() > first
+
+    run_with_duties(story)
+
+
+def test_a_holder_that_cannot_renew_stops_before_another_can_start():
+    async def story(store: MemoryStore, one: Duty, two: Duty) -> None:
+        await one.take(None)
+        token = one.use_token()
+        store.is_silent = True
+        while one.is_held:
+            await trio.sleep(0.01)
+        store.is_silent = False
+        assert KEY in store.items
+        while not two.is_held:
+            await trio.sleep(0.05)
+            try:
+                await two.take(None)
+            except DutyLost:
+                assert not one.is_held
+        assert two.use_token() > token
+        assert one.was_held
+
+    run_with_duties(story)
+
+
+def test_a_lost_answer_is_read_back_before_the_duty_is_believed():
+    async def story(store: MemoryStore, one: Duty, two: Duty) -> None:
+        store.n_answers_to_lose = 1
+        try:
+            await one.take(None)
+        except Exception as error:
+            assert "lost" in str(error)
+        assert not one.is_held
+        item = store.items[KEY]
+        assert not two.recognize(item)
+        assert one.recognize(item)
+        assert one.use_token() == item.revision
+
+    run_with_duties(story)
+
+
+def test_a_restarted_instance_takes_its_own_duty_back_at_once():
+    async def story(store: MemoryStore, one: Duty, two: Duty) -> None:
+        await one.take(None)
+        token = one.use_token()
+        keeper = LeaseKeeper(store, trio.current_time)
+        again = Duty(KEY, InstanceId("one"), store, keeper, trio.current_time)
+        item = store.items[KEY]
+        assert again.may_replace(item)
+        assert not two.may_replace(item)
+        await again.take(item)
+        assert again.use_token() > token
+
+    run_with_duties(story)
+
+
+def test_a_duty_of_a_sleeper_is_lost_by_the_clock_that_counts_sleep():
+    now = [100.0]
+    store = MemoryStore()
+    keeper = LeaseKeeper(store, lambda: now[0])
+    duty = Duty(KEY, InstanceId("one"), store, keeper, lambda: now[0])
+
+    async def run() -> None:
+        await duty.take(None)
+        assert duty.is_held
+        now[0] += LEASE_S + 0.1
+        assert not duty.is_held
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
--- a/celeryfold/standins/proxies.py
+++ b/celeryfold/standins/proxies.py
@@ -59,7 +59,9 @@
             raise BadInput(f"table: {error}") from error
 
 
-def make_table(version: int, services: Sequence[ServiceId]) -> RouteTable:
+def make_table(
+    version: int, services: Sequence[ServiceId], n_connections: int = 16
+) -> RouteTable:
     """Return a table with a route of each consistency to each service."""
     routes = {}
     for service in services:
@@ -74,7 +76,7 @@
                 target_s=0.8,
                 priority=1,
             )
-    rules = {service: ServiceRules(16, 1) for service in services}
+    rules = {service: ServiceRules(n_connections, 1) for service in services}
     return RouteTable(Generation(version), routes, rules)
 
 
@@ -105,6 +107,7 @@
         self.store = MemoryStore()
         self.replicas = ReplicaSet(self.service, n_databases)
         self.instances: list[ProxyInstance] = []
+        self.n_table_connections = 16
         self._n_instances = n_instances
         self._n_requests = 0
         self._scopes: dict[InstanceId, trio.CancelScope] = {}
@@ -127,7 +130,7 @@
 
     def publish(self, version: int) -> None:
         """Write a configuration."""
-        table = make_table(version, [self.service])
+        table = make_table(version, [self.service], self.n_table_connections)
         self.store.write(MemoryDecoder.table_key, msgspec.json.encode(table))
 
     async def _register(self) -> None:
