--- /dev/null
+++ b/celeryfold/proxy/tests/test_promises.py
@@ -0,0 +1,251 @@
+"""Random faults under random clients: no promise of the proxy is broken."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+import pytest
+import trio
+from hypothesis import given
+from hypothesis import strategies as st
+
+from celeryfold.conftest import count_examples
+from celeryfold.kernel.errors import ANSWERS, Ran
+from celeryfold.kernel.ids import RequestId, UpstreamId
+from celeryfold.proxy.calls import Answer
+from celeryfold.proxy.positions import LogPosition
+from celeryfold.proxy.routes import Consistency
+from celeryfold.proxy.session import Session
+from celeryfold.proxy.statements import Begin, Commit, Read, Rollback, SetValue, Write
+from celeryfold.standins.proxies import ProxyWorld
+from celeryfold.standins.replicas import BEFORE_ANY, Run
+
+from .test_sessions import play
+
+STORY_S = 14.0
+SETTLE_S = 12.0
+MAX_STALENESS_S = 1.5
+N_CLIENTS = 4
+
+
+class History:
+    """Record what clients were told, to be held against what databases ran."""
+
+    def __init__(self) -> None:
+        self.refused: set[RequestId] = set()
+        self.acknowledged: set[RequestId] = set()
+        self.wrong: list[str] = []
+        self.n_succeeded = 0
+
+    def note_write(self, ids: list[RequestId], answer: Answer) -> None:
+        if answer.error is None:
+            self.acknowledged.update(ids)
+            self.n_succeeded += 1
+        elif ANSWERS[answer.error.kind].ran is Ran.NO:
+            self.refused.update(ids)
+
+
+class RandomClient:
+    """Run random statements in sessions of random kinds."""
+
+    def __init__(self, world: ProxyWorld, history: History, seed: int) -> None:
+        self._world = world
+        self._history = history
+        self._random = random.Random(seed)
+        self._seed = seed
+
+    async def run(self) -> None:
+        while True:
+            number = self._random.randrange(len(self._world.instances))
+            if number in self._world.killed:
+                await trio.sleep(0.05)
+                continue
+            consistency = self._random.choice(list(Consistency))
+            session = self._world.open_session(number, consistency)
+            await self._world.run(session, SetValue("client", str(self._seed)))
+            for _ in range(self._random.randrange(1, 6)):
+                await self._act(session, consistency)
+                await trio.sleep(self._random.uniform(0.0, 0.1))
+            session.close()
+
+    async def _act(self, session: Session, consistency: Consistency) -> None:
+        action = self._random.choice(["read", "read", "write", "transaction"])
+        if action == "read":
+            await self._read(session, consistency)
+        elif action == "write":
+            request_id = self._world.make_request_id()
+            item = self._random.choice("abc")
+            answer = await session.run(request_id, Write(f"{item} {request_id}"))
+            self._history.note_write([request_id], answer)
+        else:
+            await self._transact(session)
+
+    async def _read(self, session: Session, consistency: Consistency) -> None:
+        started_at = trio.current_time()
+        own = session._own_write
+        request_id = self._world.make_request_id()
+        answer = await session.run(request_id, Read(self._random.choice("abc")))
+        if answer.error is not None:
+            return
+        self._history.n_succeeded += 1
+        runs = [r for r in self._world.replicas.runs if r.request_id == request_id]
+        name = answer.signature.split("/")[0]
+        seen = max(r.seen for r in runs if r.upstream == name)
+        age_s = 0.0 if consistency is Consistency.PRIMARY else MAX_STALENESS_S
+        needed = self._find_acknowledged(started_at - age_s)
+        if seen < needed:
+            text = f"{request_id} saw {seen} of {needed} at {started_at:.3f}"
+            self._history.wrong.append(f"stale {consistency.value}: {text}")
+        if consistency is Consistency.OWN_WRITES and own is not None:
+            if own.position.term == seen.term and seen < own.position:
+                self._history.wrong.append(f"own write missing: {request_id}")
+
+    def _find_acknowledged(self, before: float) -> LogPosition:
+        kept = [
+            e.position for at, e in self._world.replicas.acknowledged if at < before
+        ]
+        return max(kept, default=BEFORE_ANY)
+
+    async def _transact(self, session: Session) -> None:
+        await self._world.run(session, Begin())
+        ids: list[RequestId] = []
+        for _ in range(self._random.randrange(0, 3)):
+            request_id = self._world.make_request_id()
+            item = self._random.choice("abc")
+            answer = await session.run(request_id, Write(f"{item} {request_id}"))
+            ids.append(request_id)
+            if answer.error is not None:
+                break
+            await trio.sleep(self._random.uniform(0.0, 0.05))
+        if self._random.random() < 0.2:
+            await self._world.run(session, Rollback())
+            self._history.refused.update(ids)
+            return
+        ended = await self._world.run(session, Commit())
+        self._history.note_write(ids, ended)
+
+
+class RandomFaults:
+    """Strike a world with one fault after the other."""
+
+    def __init__(self, world: ProxyWorld, seed: int) -> None:
+        self._world = world
+        self._random = random.Random(seed)
+        self.struck: list[str] = []
+
+    async def run(self) -> None:
+        kinds = ["crash", "silent", "deaf", "silence", "lose", "store", "cut", "kill"]
+        kinds += ["lose_promotion", "lag"]
+        while True:
+            await trio.sleep(self._random.uniform(0.3, 2.0))
+            kind = self._random.choice(kinds)
+            self.struck.append(f"{kind} at {trio.current_time():.2f}")
+            await self._strike(kind)
+
+    async def _strike(self, kind: str) -> None:
+        world = self._world
+        replicas = world.replicas
+        name = self._random.choice(list(replicas.databases))
+        if kind in ("crash", "silent"):
+            replicas.crash(name, is_silent=kind == "silent")
+            await trio.sleep(self._random.uniform(0.2, 4.0))
+            replicas.revive(name)
+        elif kind == "deaf":
+            replicas.databases[name].is_deaf = True
+            await trio.sleep(self._random.uniform(0.5, 2.0))
+            replicas.databases[name].is_deaf = False
+            replicas.ship()
+        elif kind == "silence":
+            replicas.silence_connections(name)
+        elif kind == "lose":
+            replicas.n_answers_to_lose += self._random.randrange(1, 4)
+        elif kind == "lose_promotion":
+            replicas.n_promotions_to_lose = 1
+        elif kind == "lag":
+            replicas.databases[name].lag_s = self._random.choice([0.005, 0.1, 1.0])
+        elif kind == "store":
+            world.store.is_down = True
+            await trio.sleep(self._random.uniform(0.2, 3.0))
+            world.store.is_down = False
+            world.store.forget_history()
+        elif kind == "cut":
+            number = self._random.randrange(len(world.instances))
+            replicas.cut(f"instance-{number}", name)
+            await trio.sleep(self._random.uniform(0.2, 3.0))
+            replicas.heal()
+        elif kind == "kill" and not world.killed:
+            world.kill(self._random.randrange(len(world.instances)))
+
+
+def run_faults(seed: int, n_connections: int) -> tuple[ProxyWorld, History, list[str]]:
+    """Run clients under faults, then let everything settle."""
+    world = ProxyWorld()
+    world.n_table_connections = world.replicas.n_connections = n_connections
+    history = History()
+    faults = RandomFaults(world, seed)
+
+    async def story(world: ProxyWorld) -> None:
+        async with trio.open_nursery() as nursery:
+            for number in range(N_CLIENTS):
+                client = RandomClient(world, history, seed * 100 + number)
+                nursery.start_soon(client.run)
+            with trio.move_on_after(STORY_S):
+                await faults.run()
+            heal(world)
+            await trio.sleep(SETTLE_S)
+            nursery.cancel_scope.cancel()
+
+    play(story, world)
+    return world, history, faults.struck
+
+
+def heal(world: ProxyWorld) -> None:
+    """End all faults."""
+    world.store.is_down = False
+    world.replicas.heal()
+    for name, database in world.replicas.databases.items():
+        database.is_deaf = False
+        if not database.is_alive:
+            world.replicas.revive(UpstreamId(name))
+    world.replicas.ship()
+
+
+def check(world: ProxyWorld, history: History, struck: list[str]) -> None:
+    """Hold what clients were told against what the databases have."""
+    assert not world.replicas.lost, struck
+    assert not history.wrong, struck
+    leader = world.replicas.find_leader()
+    assert leader is not None
+    kept = Counter(r for e in leader.log for _, _, r in e.writes)
+    assert max(kept.values(), default=1) == 1, struck
+    missing = history.acknowledged - kept.keys()
+    assert not missing, (missing, struck)
+    false = history.refused & kept.keys()
+    assert not false, (false, struck)
+    check_pins(world, struck)
+    assert history.n_succeeded > 0, struck
+
+
+def check_pins(world: ProxyWorld, struck: list[str]) -> None:
+    """Hold that a transaction's writes ran on one connection, inside of it."""
+    runs: dict[RequestId, list[Run]] = {}
+    for run in world.replicas.runs:
+        runs.setdefault(run.request_id, []).append(run)
+    for _, entry in world.replicas.acknowledged:
+        ids = {request for _, _, request in entry.writes}
+        if len(ids) > 1:
+            connections = {run.connection for i in ids for run in runs[i]}
+            assert len(connections) == 1, struck
+
+
+@pytest.mark.proof
+@pytest.mark.parametrize("n_connections", [16, 5])
+def test_no_promise_is_broken_under_random_faults(n_connections):
+    @given(st.integers(0, 1_000_000))
+    def hold(seed: int) -> None:
+        check(*run_faults(seed, n_connections))
+
+    from hypothesis import settings
+
+    settings(max_examples=count_examples(6, 100))(hold)()
--- a/celeryfold/standins/proxies.py
+++ b/celeryfold/standins/proxies.py
@@ -108,6 +108,7 @@
         self.replicas = ReplicaSet(self.service, n_databases)
         self.instances: list[ProxyInstance] = []
         self.n_table_connections = 16
+        self.killed: set[int] = set()
         self._n_instances = n_instances
         self._n_requests = 0
         self._scopes: dict[InstanceId, trio.CancelScope] = {}
@@ -190,6 +191,7 @@
     def kill(self, number: int) -> None:
         """End an instance as a kill does."""
         instance_id = InstanceId(f"instance-{number}")
+        self.killed.add(number)
         self.network.cut(instance_id)
         self._scopes[instance_id].cancel()
 
