Let a guardian act only under a key that the store confirms, and repeat orders without an answer

Cause: two holders of one duty. Ruled out: late calls (the orders were sent then); clocks (boot clock).

--- a/celeryfold/platform/promotions.py
+++ b/celeryfold/platform/promotions.py
@@ -12,7 +12,8 @@
 from ..proxy.guardian import PromotionRefused, Promotions, PromotionUnanswered
 from ..wire.client import HttpClient, Unanswered, Unreachable
 
-CALL_TIMEOUT_S = 1.0
+# The platform answers within some 12 ms; an order that is repeated harms nothing.
+CALL_TIMEOUT_S = 0.5
 OK = 200
 # The token is lower than one seen before, or the database is not running.
 CONFLICT = 409
--- a/celeryfold/proxy/guardian.py
+++ b/celeryfold/proxy/guardian.py
@@ -56,11 +56,13 @@
 # The promoted upstream leads within about a second.
 LEAD_WAIT_S = 2.5
 LEAD_POLL_S = 0.1
+# An order without an answer is repeated after this; it may still be carried out.
+REPEAT_S = 0.25
 # How long a replica is given to receive the rest from a primary that is stopped.
 CATCH_UP_S = 1.0
 CATCH_UP_POLL_S = 0.05
 RETRY_S = 0.2
-N_PROMOTE_TRIES = 4
+N_PROMOTE_TRIES = 8
 RANK_DELAY_S = 0.6
 
 
@@ -167,6 +169,8 @@
             return
         if self._clock() < self._act_at:
             return
+        if self._is_key_in_doubt():
+            await self._duty.verify()
         await self._write_record(self._clock() - self._turn_at < LEASE_S)
         newest = self._ports.samples.newest(self.service)
         if newest is None:
@@ -183,6 +187,12 @@
         if leader is not None and leader.is_leaving:
             await self._hand_over(leader, newest)
 
+    def _is_key_in_doubt(self) -> bool:
+        """Tell whether the watch of the store shows no key of ours."""
+        watcher = self._ports.watcher
+        item = watcher.items.get(self._duty.key)
+        return watcher.is_connected and not (item and self._duty.recognize(item))
+
     def _refresh(self) -> None:
         listed = self._ports.directory.list_service(self.service)
         self._ack_set.update(listed, self._clock())
@@ -257,18 +267,33 @@
         """
         members = tuple(sorted(self._ack_set.members))
         record = _Record(members, self._ports.me if has_turn else "")
-        if record == self._record:
-            return
-        self._duty.use_token()
-        expected = [Expectation(self._members_key, self._record_revision)]
+        if record != self._record:
+            await self._commit_record(record)
+
+    async def _commit_record(self, record: _Record) -> None:
+        """Write the record, which the store does only while the duty is ours."""
+        expected = [
+            self._duty.expect(),
+            Expectation(self._members_key, self._record_revision),
+        ]
         write = ItemWrite(self._members_key, msgspec.json.encode(record))
         try:
             self._record_revision = await self._ports.store.commit(expected, [write])
         except CeleryfoldError:
             await self._read_record()
+            await self._duty.verify()
             raise
         self._record = record
 
+    async def _begin_turn(self) -> None:
+        """Have the store confirm the duty, and note that orders may follow.
+
+        :raises CeleryfoldError: nothing may be ordered.
+        """
+        self._turn_at = self._clock()
+        members = tuple(sorted(self._ack_set.members))
+        await self._commit_record(_Record(members, self._ports.me))
+
     async def _settle(self, newest: Sample) -> None:
         """Drop members that are gone and whose commits others hold."""
         missing = self._ack_set.list_missing()
@@ -320,6 +345,7 @@
         statuses = await self._ask_all(lambda control: control.read_status(), others)
         if await self._find_present_leader(statuses):
             return
+        await self._begin_turn()
         term = self._find_next_term(statuses, newest)
         self._are_paused |= set(statuses)
         paused = await self._ask_all(lambda control: control.pause(term), others)
@@ -399,8 +425,8 @@
         if not fit:
             return
         self._log_turn("primary leaves", newest)
+        await self._begin_turn()
         term = self._find_next_term(statuses, newest)
-        self._duty.use_token()
         final = (await self._controls[me].demote(term)).received
         chosen = await self._wait_caught_up(final)
         await self._promote(chosen or me, term)
@@ -418,13 +444,12 @@
 
     async def _promote(self, chosen: Member, term: Term) -> None:
         """Promote a member and wait until it leads."""
-        self._turn_at = self._clock()
-        await self._write_record(has_turn=True)
         if self._ordered not in (None, chosen):
             await self._duty.renew_token()
         self._ordered = chosen
         for _ in range(N_PROMOTE_TRIES):
             token = self._duty.use_token()
+            wait_s = LEAD_WAIT_S
             self._turn_at = self._clock()
             extra = {
                 "service": self.service,
@@ -443,16 +468,17 @@
                 await self._duty.renew_token()
                 return
             except PromotionUnanswered as error:
+                wait_s = REPEAT_S
                 extra["reason"] = str(error)
                 log.warning("promotion unanswered", extra=extra)
-            if await self._wait_lead(chosen):
+            if await self._wait_lead(chosen, wait_s):
                 self._ordered = None
                 log.info("primary changed", extra=extra)
                 await self._resume_all()
                 return
 
-    async def _wait_lead(self, chosen: Member) -> bool:
-        with trio.move_on_after(LEAD_WAIT_S):
+    async def _wait_lead(self, chosen: Member, wait_s: float) -> bool:
+        with trio.move_on_after(wait_s):
             while True:
                 if await self._prove(chosen):
                     return True
--- a/celeryfold/proxy/instance.py
+++ b/celeryfold/proxy/instance.py
@@ -233,6 +233,7 @@
         while True:
             await trio.sleep(HOUSEKEEPING_S)
             self.directory.expire()
+            self.peers.note_changes()
             self.lanes.update()
             self.home.expire()
 
--- a/celeryfold/proxy/leases.py
+++ b/celeryfold/proxy/leases.py
@@ -50,6 +50,10 @@
         """Tell whether the lease runs for certain."""
         return self._lease_id is not None and self._clock() < self._until
 
+    def is_running(self, lease_id: LeaseId | None) -> bool:
+        """Tell whether a lease is the one that is kept, and runs for certain."""
+        return self.runs and lease_id == self._lease_id
+
     async def obtain(self) -> LeaseId:
         """Return a lease that runs.
 
@@ -116,17 +120,18 @@
         self._keeper = keeper
         self._clock = clock
         self._token = 0
+        self._lease_id: LeaseId | None = None
         self._written: set[bytes] = set()
 
     @property
     def is_held(self) -> bool:
         """Tell whether the duty is held for certain."""
-        return self._token > 0 and self._keeper.runs
+        return self._token > 0 and self._keeper.is_running(self._lease_id)
 
     @property
     def was_held(self) -> bool:
         """Tell whether the duty was taken and the lease has run out since."""
-        return self._token > 0 and not self._keeper.runs
+        return self._token > 0 and not self.is_held
 
     def use_token(self) -> int:
         """Return the fencing token.
@@ -137,6 +142,27 @@
             raise DutyLost(f"the lease of {self.key} has run out")
         return self._token
 
+    def expect(self) -> Expectation:
+        """Return what a write needs to be done only while the duty is held.
+
+        The lease alone does not show it: the store may have taken the key away.
+
+        :raises DutyLost: where the duty may have passed to another holder.
+        """
+        return Expectation(self.key, self.use_token())
+
+    async def verify(self) -> None:
+        """Ask the store whether the key is still ours; drop the duty if it is not.
+
+        :raises DutyLost: where it is not.
+        :raises StoreUnavailable: where the store gives no answer.
+        """
+        token = self.use_token()
+        item = await self._store.get(self.key)
+        if item is None or item.revision != token:
+            self.drop("the key is gone")
+            raise DutyLost(f"{self.key} was taken away")
+
     def may_replace(self, item: Item) -> bool:
         """Tell whether a key was written by an earlier process of this instance.
 
@@ -156,7 +182,7 @@
         await self._write(known.revision if known is not None else 0)
 
     async def _write(self, expected_revision: int) -> None:
-        lease = await self._keeper.obtain()
+        lease = self._lease_id = await self._keeper.obtain()
         value = f"{self.holder} {secrets.token_hex(8)}".encode()
         self._written.add(value)
         expected = [Expectation(self.key, expected_revision)]
@@ -171,7 +197,8 @@
 
     def recognize(self, item: Item) -> bool:
         """Hold the duty where a key that we wrote is there after a lost answer."""
-        if item.value not in self._written or not self._keeper.runs:
+        is_ours = item.value in self._written
+        if not is_ours or not self._keeper.is_running(self._lease_id):
             return False
         if not self.is_held:
             self._hold(item.revision)
--- a/celeryfold/proxy/peers.py
+++ b/celeryfold/proxy/peers.py
@@ -66,6 +66,7 @@
         self._clock = clock
         self._known: dict[InstanceId, _Known] = {}
         self._spoke_at = 0.0
+        self._alive: set[InstanceId] = set()
 
     def hear(self, peer: Peer) -> None:
         """Note that a peer has just spoken."""
@@ -81,7 +82,6 @@
             return
         known = self._known.get(peer.instance_id)
         if known is None:
-            self._log_change("peer found", peer)
             self._known[peer.instance_id] = _Known(peer, heard_at)
         elif heard_at > known.heard_at:
             known.peer = peer
@@ -96,6 +96,17 @@
             if known.heard_at > oldest and not known.peer.is_leaving
         ]
 
+    def note_changes(self) -> None:
+        """Log which peers were lost or came back since the last call."""
+        alive = {peer.instance_id for peer in self.list_alive()}
+        for instance_id in sorted(self._alive - alive):
+            known = self._known.get(instance_id)
+            if known is not None:
+                self._log_change("peer lost", known.peer)
+        for instance_id in sorted(alive - self._alive):
+            self._log_change("peer reached", self._known[instance_id].peer)
+        self._alive = alive
+
     def list_aged(self) -> list[AgedPeer]:
         """Return the peers heard lately with the time since."""
         now = self._clock()
--- a/celeryfold/proxy/tests/test_homes.py
+++ b/celeryfold/proxy/tests/test_homes.py
@@ -173,3 +173,14 @@
     shares = [divide_connections(46, n_homes, rank) for rank in range(n_homes)]
     assert sum(shares) == 44
     assert shares == sorted(shares, reverse=True)
+
+
+def test_the_loss_of_a_peer_is_logged(caplog):
+    async def story(world: ProxyWorld) -> None:
+        world.kill(2)
+        await trio.sleep(8.0)
+
+    with caplog.at_level("INFO", logger="celeryfold.proxy.peers"):
+        play(story)
+    lost = [r for r in caplog.records if r.getMessage() == "peer lost"]
+    assert {r.__dict__["peer"] for r in lost} >= {"instance-2"}
--- a/celeryfold/proxy/tests/test_store_faults.py
+++ b/celeryfold/proxy/tests/test_store_faults.py
@@ -230,3 +230,19 @@
         assert not duty.is_held
 
     trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_a_duty_does_not_come_back_with_another_lease():
+    """The lease ends; another duty of the same instance obtains a new one."""
+
+    async def story(store: MemoryStore, one: Duty, two: Duty) -> None:
+        await one.take(None)
+        keeper = one._keeper
+        await keeper.end()
+        other = Duty("celeryfold/duties/x", one.holder, store, keeper, keeper._clock)
+        await other.take(None)
+        assert other.is_held
+        assert not one.is_held
+        assert one.was_held
+
+    run_with_duties(story)
