Keep shares while peers are lost; connect a guardian before it is needed

Change: a peer that was lost still counts for shares for 15 s; a guardian on duty is connected to all members; a lost race for a duty is logged as that.

--- a/celeryfold/proxy/guardian.py
+++ b/celeryfold/proxy/guardian.py
@@ -26,7 +26,7 @@
 from .clock import Clock
 from .control import ControlConnection, ControlFailed
 from .directory import Directory
-from .leases import LEASE_S, Duty
+from .leases import LEASE_S, Duty, DutyLost
 from .members import AckSet, Held, Member, choose_caught_up, choose_successor
 from .peers import PeerBook
 from .positions import LogPosition
@@ -62,6 +62,8 @@
 CATCH_UP_S = 1.0
 CATCH_UP_POLL_S = 0.05
 RETRY_S = 0.2
+# How often a guardian looks whether it is connected to all members.
+OPEN_INTERVAL_S = 1.0
 N_PROMOTE_TRIES = 8
 RANK_DELAY_S = 0.6
 
@@ -139,6 +141,7 @@
         self._record = _Record()
         self._record_revision = 0
         self._turn_at = -math.inf
+        self._opened_at = -math.inf
         self._controls: dict[Member, ControlConnection] = {}
         self._started_at = ports.clock()
         self._free_since = math.inf
@@ -172,6 +175,7 @@
         if self._is_key_in_doubt():
             await self._duty.verify()
         await self._write_record(self._clock() - self._turn_at < LEASE_S)
+        await self._open_controls()
         newest = self._ports.samples.newest(self.service)
         if newest is None:
             if self._clock() - self._started_at > FIRST_PRIMARY_S:
@@ -224,7 +228,12 @@
         if self._clock() - self._free_since < delay_s:
             return
         self._free_since = math.inf
-        await self._duty.take(item)
+        try:
+            await self._duty.take(item)
+        except DutyLost as error:
+            extra = {"service": self.service, "reason": str(error)}
+            log.info("duty not taken", extra=extra)
+            return
         await self._take_up()
 
     def _find_rank(self) -> int:
@@ -518,6 +527,25 @@
                 nursery.start_soon(ask_one, member, self._controls[member])
         return answers
 
+    async def _open_controls(self) -> None:
+        """Connect to all members before it is needed.
+
+        When a primary is lost, statements may have taken every connection.
+        """
+        if self._clock() - self._opened_at < OPEN_INTERVAL_S:
+            return
+        self._opened_at = self._clock()
+        async with trio.open_nursery() as nursery:
+            for control in self._controls.values():
+                if not control.is_open:
+                    nursery.start_soon(self._open_control, control)
+
+    async def _open_control(self, control: ControlConnection) -> None:
+        try:
+            await control.open()
+        except ControlFailed:
+            self._ports.metrics.count("failover.control_not_opened")
+
     async def _close_controls(self) -> None:
         for control in self._controls.values():
             await control.close()
--- a/celeryfold/proxy/lane_book.py
+++ b/celeryfold/proxy/lane_book.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from ..kernel.ids import InstanceId, UpstreamId
+from ..kernel.ids import UpstreamId
 from ..kernel.metrics import Metrics
 from ..links import PeerLink
 from .clock import Clock
@@ -85,32 +85,37 @@
 
     def _update_one(self, upstream: Upstream, members: list[Peer]) -> None:
         n_connections = self._find_n_connections(upstream)
-        homes = choose_homes(upstream, members, self._peers.regions, n_connections)
+        regions = self._peers.regions
+        homes = choose_homes(upstream, members, regions, n_connections)
         self._homes[upstream.upstream_id] = homes
-        names = [home.instance_id for home in homes]
+        sharing = [self._peers.me, *self._peers.list_sharing()]
+        sharing_homes = choose_homes(upstream, sharing, regions, n_connections)
         me = self._peers.me.instance_id
+        is_home = any(home.instance_id == me for home in homes)
         lane = self._lanes.get(upstream.upstream_id)
         if lane is not None and not _is_same(upstream, lane.upstream):
             self._close(upstream.upstream_id)
             lane = None
-        if lane is not None and lane.is_local != (me in names):
+        if lane is not None and lane.is_local != is_home:
             self._close(upstream.upstream_id)
             lane = None
         if lane is None:
-            lane = self._open(upstream, me in names)
+            lane = self._open(upstream, is_home)
         lane.upstream = upstream
         if isinstance(lane, LocalLane):
             lane.pool.upstream = upstream
-            lane.pool.limit = self._find_limit(n_connections, names, me)
+            lane.pool.limit = self._find_limit(n_connections, sharing_homes)
             lane.pool.trim()
 
-    def _find_limit(
-        self, n_connections: int, homes: list[InstanceId], me: InstanceId
-    ) -> int:
+    def _find_limit(self, n_connections: int, homes: list[Peer]) -> int:
+        """Return how many connections this instance may hold, as one of the homes."""
         is_new = self._clock() - self._started_at < PEERS_FOUND_S
         if is_new and len(homes) == 1 and self._peers.has_seeds():
             return N_BEFORE_PEERS
-        return divide_connections(n_connections, len(homes), homes.index(me))
+        names = sorted(home.instance_id for home in homes)
+        me = self._peers.me.instance_id
+        rank = names.index(me) if me in names else len(names)
+        return divide_connections(n_connections, len(names), rank)
 
     def _open(self, upstream: Upstream, is_local: bool) -> Lane:
         assert self._nursery is not None
--- a/celeryfold/proxy/peers.py
+++ b/celeryfold/proxy/peers.py
@@ -33,6 +33,8 @@
 ASK_ALL_TIMEOUT_S = 0.25
 # Two rounds of members and the hops between are below this.
 ALIVE_S = 4.0
+# A cut between instances is over by then, as a rule.
+SHARING_S = 15.0
 # Long enough for an instance cut off from all others to find them again.
 FORGET_S = 30.0
 # A sample older than this serves no read and shows no primary.
@@ -96,6 +98,19 @@
             if known.heard_at > oldest and not known.peer.is_leaving
         ]
 
+    def list_sharing(self) -> list[Peer]:
+        """Return the peers that may hold connections, some of them lost lately.
+
+        One that cannot be heard may still reach upstreams; the shares of those that
+        are left grow only when it is likely gone.
+        """
+        oldest = self._clock() - SHARING_S
+        return [
+            known.peer
+            for known in self._known.values()
+            if known.heard_at > oldest and not known.peer.is_leaving
+        ]
+
     def note_changes(self) -> None:
         """Log which peers were lost or came back since the last call."""
         alive = {peer.instance_id for peer in self.list_alive()}
--- a/celeryfold/proxy/tests/test_failover.py
+++ b/celeryfold/proxy/tests/test_failover.py
@@ -353,3 +353,37 @@
     world = play(story)
     check_nothing_lost(world)
     assert len({upstream for _, _, _, upstream in world.replicas.promotions}) == 1
+
+
+def test_a_full_upstream_does_not_keep_its_guardian_out():
+    """A replica starts again, and others then take all connections it gives."""
+
+    async def story(world: ProxyWorld) -> None:
+        world.replicas.revive(SECOND)
+        await trio.sleep(2.0)
+        for database in world.replicas.databases.values():
+            while len(database.connections) < world.replicas.n_connections:
+                await world.replicas.open(database.upstream, "someone else")
+        world.replicas.crash(FIRST, is_silent=True)
+        await trio.sleep(4.0)
+        assert world.replicas.promotions
+        assert find_leader_id(world) != FIRST
+
+    check_nothing_lost(play(story))
+
+
+def list_limits(world: ProxyWorld) -> list[int]:
+    lanes = [instance.lanes.find_local(FIRST) for instance in world.instances]
+    return [lane.pool.limit for lane in lanes if lane is not None]
+
+
+def test_an_instance_that_hears_nobody_takes_no_share_of_others():
+    async def story(world: ProxyWorld) -> None:
+        limits = list_limits(world)
+        for number in range(3):
+            world.network.cut(f"instance-{number}")
+        await trio.sleep(8.0)
+        assert list_limits(world) == limits
+        assert len(limits) == 3
+
+    play(story)
