--- a/celeryfold/__main__.py
+++ b/celeryfold/__main__.py
@@ -67,6 +67,16 @@
     command.run(settings)
 
 
+@main.command()
+@click.argument("request_id")
+@click.argument("files", type=FILE, nargs=-1, required=True)
+def explain(request_id: str, files: tuple[Path, ...]) -> None:
+    """Tell a request's story from the logs of many processes."""
+    from .commands import explain as command
+
+    command.run(request_id, list(files))
+
+
 @main.command()
 @click.argument("kind", type=click.Choice(["slot", "store", "list"]))
 @click.option("--settings", type=FILE, required=True, help="JSON settings file.")
--- /dev/null
+++ b/celeryfold/commands/tests/test_explain.py
@@ -0,0 +1,60 @@
+"""A request's story is told from the lines of all processes."""
+
+from __future__ import annotations
+
+import os
+
+from click.testing import CliRunner
+
+from celeryfold.__main__ import main
+from celeryfold.kernel.logs import N_LINES_SAVED, BoundedHandler
+
+LINES = """
+noise
+ 1.0 p {"asctime": "10:00:01", "message": "primary learned", "process": "a",
+{"asctime": "10:00:01", "message": "primary learned", "process": "a", "service": "s"}
+ 2.0 b {"asctime": "10:00:02", "message": "store lost", "process": "b"}
+{"asctime": "10:00:04", "message": "statement refused", "process": "a", "request": "r1"}
+{"asctime": "10:00:03", "message": "statement retried", "process": "a", "request": "r1"}
+{"asctime": "10:00:05", "message": "statement refused", "process": "b", "request": "r2"}
+"""
+
+
+def test_decisions_come_in_order_with_what_was_believed(tmp_path):
+    path = tmp_path / "log"
+    path.write_text(LINES)
+    result = CliRunner().invoke(main, ["explain", "r1", str(path)])
+    told = result.output.splitlines()
+    assert told[0].startswith("  believed: 10:00:01 a: primary learned")
+    assert told[1].startswith("10:00:03 a: statement retried")
+    assert told[2].startswith("10:00:04 a: statement refused")
+    assert len(told) == 3
+
+
+def test_a_request_nobody_decided_on_is_an_error(tmp_path):
+    path = tmp_path / "log"
+    path.write_text(LINES)
+    result = CliRunner().invoke(main, ["explain", "r9", str(path)])
+    assert result.exit_code == 2
+
+
+def test_a_flood_of_lines_is_bounded_and_a_stalled_reader_blocks_nothing():
+    import logging
+
+    reader, writer = os.pipe()
+    handler = BoundedHandler(writer)
+    handler.setFormatter(logging.Formatter("%(message)s"))
+    record = logging.LogRecord("x", logging.INFO, "", 0, "y" * 1000, (), None)
+    for _ in range(5000):
+        handler.emit(record)
+    assert handler.n_dropped >= 5000 - N_LINES_SAVED - 100
+    os.set_blocking(reader, False)
+    data = b""
+    while True:
+        try:
+            data += os.read(reader, 1 << 20)
+        except BlockingIOError:
+            break
+    assert 0 < data.count(b"\n") <= N_LINES_SAVED + 100
+    os.close(reader)
+    os.close(writer)
--- a/celeryfold/proxy/home.py
+++ b/celeryfold/proxy/home.py
@@ -267,6 +267,8 @@
         if reply.is_not_home:
             self._metrics.count("home.not_home")
             raise _NotHome(reply.text)
+        if reply.not_run is ErrorKind.NOT_RUN:
+            self._avoid(home)
         if reply.not_run is not None:
             raise NotRun(reply.not_run, reply.text)
         if reply.ending is not None:
--- a/celeryfold/proxy/lane_book.py
+++ b/celeryfold/proxy/lane_book.py
@@ -53,6 +53,7 @@
         self._metrics = metrics
         self._started_at = clock()
         self._lanes: dict[UpstreamId, Lane] = {}
+        self._detours: dict[UpstreamId, RemoteLane] = {}
         self._homes: dict[UpstreamId, list[Peer]] = {}
         self._nursery: trio.Nursery | None = None
         directory.watch(self.update)
@@ -71,6 +72,17 @@
         lane = self._lanes.get(upstream_id)
         return lane if isinstance(lane, LocalLane) else None
 
+    def find_detour(self, upstream_id: UpstreamId) -> Lane | None:
+        """Return a lane through other instances that connect to an upstream."""
+        lane = self._lanes.get(upstream_id)
+        if lane is None or not self._list_other_homes(upstream_id):
+            return None
+        detour = self._detours.get(upstream_id)
+        if detour is None or not _is_same(detour.upstream, lane.upstream):
+            detour = self._detours[upstream_id] = self.make_remote(lane.upstream)
+            self._metrics.count("lane.detours")
+        return detour
+
     def update(self) -> None:
         """Bring lanes and their limits in line with upstreams and peers."""
         if self._nursery is None:
@@ -106,6 +118,8 @@
             lane.pool.upstream = upstream
             lane.pool.limit = self._find_limit(n_connections, sharing_homes)
             lane.pool.trim()
+            if lane.is_cut:
+                lane.pool.probe()
 
     def _find_limit(self, n_connections: int, homes: list[Peer]) -> int:
         """Return how many connections this instance may hold, as one of the homes."""
@@ -149,6 +163,7 @@
 
     def _close(self, upstream_id: UpstreamId) -> None:
         lane = self._lanes.pop(upstream_id)
+        self._detours.pop(upstream_id, None)
         if isinstance(lane, LocalLane):
             lane.pool.close()
 
--- a/celeryfold/proxy/lanes.py
+++ b/celeryfold/proxy/lanes.py
@@ -114,6 +114,11 @@
         """Tell whether the connections are this instance's own."""
         return False
 
+    @property
+    def is_cut(self) -> bool:
+        """Tell whether the upstream cannot be reached this way, as it seems."""
+        return False
+
     @property
     def n_in_use(self) -> int:
         """Statements that run or wait here."""
--- a/celeryfold/proxy/local_lane.py
+++ b/celeryfold/proxy/local_lane.py
@@ -33,6 +33,11 @@
         """Tell whether the connections are this instance's own."""
         return True
 
+    @property
+    def is_cut(self) -> bool:
+        """Tell whether the upstream has not answered here since it was silent."""
+        return self.pool.is_unreachable or self.silent_at > self.pool.answered_at
+
     @property
     def n_in_use(self) -> int:
         """Statements that run or wait here."""
--- a/celeryfold/proxy/pool.py
+++ b/celeryfold/proxy/pool.py
@@ -265,6 +265,7 @@
             raise
         self._n_opening -= 1
         self._n_open += 1
+        self.answered_at = self._clock()
         self._note_reachable()
         self._metrics.count("upstream.connections_opened")
         self._give(PooledConnection(connection, self._clock()))
@@ -348,6 +349,13 @@
             return
         self._idle.append(pooled)
 
+    def probe(self) -> None:
+        """Try to connect to an upstream that could not be reached."""
+        if not self._n_opening and self._n_open < self.limit and self._may_open():
+            assert self._nursery is not None
+            self._n_opening += 1
+            self._nursery.start_soon(self._open)
+
     def trim(self) -> None:
         """Close connections that have been free for long; the last used one stays."""
         oldest = self._clock() - IDLE_KEPT_S
--- a/celeryfold/proxy/routing.py
+++ b/celeryfold/proxy/routing.py
@@ -56,7 +56,11 @@
         self._clock = clock
 
     def find_leader(self, service: ServiceId) -> Lane | None:
-        """Return the lane to a service's primary, if it is known and may be used."""
+        """Return the lane to a service's primary, if it is known and may be used.
+
+        Where this instance cannot reach a primary that gave others a sign of life, its
+        statements go through them.
+        """
         leader = self._samples.find_leader(service)
         if leader is None:
             return None
@@ -66,7 +70,10 @@
         left_s = self._directory.find_leaving_s(leader)
         if left_s is not None and left_s > LEAVING_PRIMARY_USED_S:
             return None
-        return self._lanes.find(leader)
+        lane = self._lanes.find(leader)
+        if lane is not None and lane.is_cut:
+            return self._lanes.find_detour(leader) or lane
+        return lane
 
     def find_reader(
         self,
--- a/celeryfold/proxy/tests/test_homes.py
+++ b/celeryfold/proxy/tests/test_homes.py
@@ -184,3 +184,28 @@
         play(story)
     lost = [r for r in caplog.records if r.getMessage() == "peer lost"]
     assert {r.__dict__["peer"] for r in lost} >= {"instance-2"}
+
+
+def test_an_instance_cut_off_from_the_primary_goes_through_another():
+    async def story(world: ProxyWorld) -> None:
+        guardian = world.find_guardian()
+        number = next(n for n in range(3) if n != guardian)
+        session = world.open_session(number, PRIMARY)
+        await world.run(session, Write("a 0"))
+        world.replicas.cut(f"instance-{number}", FIRST)
+        await world.run(session, Write("a lost"))
+        await trio.sleep(1.0)
+        for step in range(20):
+            assert (await world.run(session, Write(f"a {step}"))).error is None
+            assert (await world.run(session, Read("a"))).rows == (str(step),)
+            await world.run(session, Begin())
+            await world.run(session, Write("b 1"))
+            assert (await world.run(session, Commit())).error is None
+            await trio.sleep(0.1)
+        world.replicas.heal()
+        await trio.sleep(3.0)
+        lane = world.instances[number].lanes.find_local(FIRST)
+        assert lane is not None
+        assert not lane.is_cut
+
+    assert not play(story).replicas.promotions
