Split the guardian; one copy of listening, retrying and running at a home

A promotion is repeated only while all members that were paused are still connected: one that started again receives, and may acknowledge what the chosen one lacks.

--- a/celeryfold/commands/proxy.py
+++ b/celeryfold/commands/proxy.py
@@ -4,7 +4,6 @@
 
 __all__ = ["run"]
 
-import gc
 import logging
 import os
 import signal
@@ -13,6 +12,7 @@
 import trio
 
 from ..exceptions import BadInput
+from ..kernel.collections import spare_collections
 from ..kernel.logs import start_output_logging
 from ..kernel.metrics import Metrics
 from ..links.zmq_link import ZmqLink
@@ -32,7 +32,6 @@
 log = logging.getLogger(__name__)
 
 SETTINGS_VARIABLE = "CELERYFOLD_BOOT"
-N_ALLOCATIONS_A_COLLECTION = 20_000
 
 
 def run(settings_path: Path | None) -> None:
@@ -80,7 +79,7 @@
                     host, port, lambda: ProbeHandler(lambda: instance.is_ready, metrics)
                 )
                 await server.start(nursery)
-            _spare_collections()
+            spare_collections()
             log.info("instance started", extra={"place": settings.data_centre})
             async for number in signals:
                 if number == signal.SIGTERM:
@@ -106,10 +105,3 @@
         log.error("settings not reloaded", extra={"reason": str(error)})
         return
     log.info("settings reloaded", extra={"is_same": changed == settings})
-
-
-def _spare_collections() -> None:
-    """Have the garbage collector run seldom, and not over what lives for ever."""
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(N_ALLOCATIONS_A_COLLECTION)
--- a/celeryfold/daemon.py
+++ b/celeryfold/daemon.py
@@ -4,7 +4,6 @@
 
 __all__ = ["InstanceDaemon", "open_instance", "run_instance", "run_until_signal"]
 
-import gc
 import logging
 import signal
 import ssl
@@ -22,6 +21,7 @@
 from .fleet.members import Member
 from .fleet.messages import FLEET_CODEC
 from .instance import Instance, Platform
+from .kernel.collections import spare_collections
 from .kernel.events import Timeline
 from .kernel.metrics import Metrics
 from .links.zmq_link import PeerKeys, ZmqLink
@@ -30,7 +30,6 @@
 log = logging.getLogger(__name__)
 
 CONFIGURATION_WAIT_S = 5.0
-N_ALLOCATIONS_A_COLLECTION = 20_000
 
 
 class InstanceDaemon:
@@ -171,23 +170,13 @@
             nursery.cancel_scope.cancel()
 
 
-def _spare_collections() -> None:
-    """Have the garbage collector run seldom, and not over what lives for ever.
-
-    Requests leave few cycles behind; walking all modules for them costs more.
-    """
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(N_ALLOCATIONS_A_COLLECTION)
-
-
 async def run_instance(settings: InstanceSettings) -> None:
     """Run an instance until it is told to stop."""
     daemon = InstanceDaemon(settings)
 
     async def start(nursery: trio.Nursery) -> None:
         await daemon.start(nursery)
-        _spare_collections()
+        spare_collections()
         log.info("%s serves callers on %s", settings.instance, settings.caller.address)
 
     await run_until_signal(start, daemon.close)
--- a/celeryfold/platform/entries.py
+++ b/celeryfold/platform/entries.py
@@ -13,6 +13,7 @@
 from ..proxy.routes import Consistency, Route, RouteTable, ServiceRules
 from ..proxy.upstream import Upstream, UpstreamRole
 from ..proxy.watcher import EntryDecoder
+from ..wire.client import is_address
 
 DEFAULT_N_CONNECTIONS = 16
 
@@ -85,7 +86,7 @@
             entry = msgspec.json.decode(value, type=_ServerEntry)
         except (msgspec.DecodeError, UnicodeDecodeError):
             return None
-        if entry.state not in _STATES or not _is_address(entry.address):
+        if entry.state not in _STATES or not is_address(entry.address):
             return None
         return Upstream(
             upstream_id=upstream_id,
@@ -116,11 +117,6 @@
         )
 
 
-def _is_address(text: str) -> bool:
-    host, _, port = text.rpartition(":")
-    return bool(host) and port.isdigit()
-
-
 def _make_route(body: _RouteBody) -> Route:
     return Route(
         database=body.host,
--- a/celeryfold/platform/promotions.py
+++ b/celeryfold/platform/promotions.py
@@ -9,7 +9,7 @@
 
 from ..kernel.ids import InstanceId, ServiceId, UpstreamId
 from ..kernel.metrics import Metrics
-from ..proxy.guardian import PromotionRefused, Promotions, PromotionUnanswered
+from ..proxy.promotions import PromotionRefused, Promotions, PromotionUnanswered
 from ..wire.client import HttpClient, Unanswered, Unreachable
 
 # The platform answers within some 12 ms; an order that is repeated harms nothing.
--- a/celeryfold/platform/settings.py
+++ b/celeryfold/platform/settings.py
@@ -11,6 +11,7 @@
 from ..exceptions import BadInput
 from ..kernel.ids import InstanceId, PlaceId, RegionId
 from ..proxy.instance import ProxySettings
+from ..wire.client import is_address
 
 # Where deploy/system.toml says that metrics are read.
 METRICS_PORT = 9464
@@ -76,18 +77,13 @@
 def _find_errors(settings: PlatformSettings) -> list[str]:
     errors = []
     for name in ("clients", "probes", "peers", "store", "promotions"):
-        if not _is_address(getattr(settings, name)):
+        if not is_address(getattr(settings, name)):
             errors.append(f"{name}: write an IP number and a port, such as 10.0.0.1:80")
     for index, seed in enumerate(settings.seeds):
-        if not _is_address(seed):
+        if not is_address(seed):
             errors.append(f"seeds[{index}]: write an IP number and a port")
     if settings.data_centre not in settings.regions:
         errors.append("data_centre: name one of those under regions")
     if settings.grace_s <= 0:
         errors.append("grace_s: write seconds above 0")
     return errors
-
-
-def _is_address(text: str) -> bool:
-    host, _, port = text.rpartition(":")
-    return bool(host) and port.isdigit()
--- a/celeryfold/platform/standins.py
+++ b/celeryfold/platform/standins.py
@@ -13,8 +13,8 @@
 
 from ..exceptions import BadInput
 from ..kernel.ids import InstanceId, LeaseId, RequestId, ServiceId, UpstreamId
-from ..proxy.guardian import PromotionRefused
 from ..proxy.positions import LogPosition
+from ..proxy.promotions import PromotionRefused
 from ..proxy.statements import (
     Demote,
     Pause,
--- /dev/null
+++ b/celeryfold/proxy/control_book.py
@@ -0,0 +1,181 @@
+"""Control connections to all members of a service."""
+
+from __future__ import annotations
+
+__all__ = ["ControlBook"]
+
+import logging
+import math
+from collections.abc import Awaitable, Callable, Collection, Iterable
+
+import trio
+
+from ..kernel.ids import ServiceId, Term, UpstreamId
+from ..kernel.metrics import Metrics
+from .clock import Clock
+from .control import ControlConnection, ControlFailed
+from .members import Held, Member
+from .positions import LogPosition
+from .upstream import ConnectFailure, Connector, Upstream, UpstreamStatus
+
+log = logging.getLogger(__name__)
+
+# How often to look whether all members are connected.
+OPEN_INTERVAL_S = 1.0
+
+
+class ControlBook:
+    """Give orders to members and remember which were paused."""
+
+    def __init__(
+        self,
+        service: ServiceId,
+        connector: Connector,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self._service = service
+        self._connector = connector
+        self._clock = clock
+        self._metrics = metrics
+        self._controls: dict[Member, ControlConnection] = {}
+        self._paused: set[Member] = set()
+        self._opened_at = -math.inf
+
+    def refresh(self, listed: Iterable[Upstream]) -> None:
+        """Take in where upstreams are; those that are no longer listed are kept."""
+        for upstream in listed:
+            member = Member(upstream.upstream_id, upstream.born_ms)
+            known = self._controls.get(member)
+            if known is None or known.upstream.address != upstream.address:
+                self._controls[member] = ControlConnection(
+                    upstream, self._connector, self._clock
+                )
+            else:
+                known.upstream = upstream
+
+    def list_others(self, lost: UpstreamId | None) -> list[Member]:
+        """Return all members but those of one upstream."""
+        return [member for member in self._controls if member.upstream_id != lost]
+
+    def are_open(self, members: Iterable[Member]) -> bool:
+        """Tell whether no member has started again since it was given orders."""
+        return all(
+            member in self._controls and self._controls[member].is_open
+            for member in members
+        )
+
+    async def open_all(self) -> None:
+        """Connect to all members before it is needed.
+
+        When a primary is lost, statements may have taken every connection.
+        """
+        if self._clock() - self._opened_at < OPEN_INTERVAL_S:
+            return
+        self._opened_at = self._clock()
+        async with trio.open_nursery() as nursery:
+            for control in self._controls.values():
+                if not control.is_open:
+                    nursery.start_soon(self._open, control)
+
+    async def _open(self, control: ControlConnection) -> None:
+        try:
+            await control.open()
+        except ControlFailed:
+            self._metrics.count("failover.control_not_opened")
+
+    async def is_refused(self, upstream_id: UpstreamId) -> bool:
+        """Tell whether an upstream's host says that nothing listens there."""
+        for member, control in self._controls.items():
+            if member.upstream_id != upstream_id:
+                continue
+            try:
+                await control.open()
+            except ControlFailed as error:
+                return error.failure is ConnectFailure.REFUSED
+        return False
+
+    async def read_statuses(
+        self, members: Iterable[Member] | None = None
+    ) -> dict[Member, UpstreamStatus]:
+        """Return the status of members, of all where none are named."""
+        chosen = self._controls if members is None else members
+        return await self._ask(chosen, lambda control: control.read_status())
+
+    async def pause(
+        self, members: Collection[Member], term: Term
+    ) -> dict[Member, UpstreamStatus]:
+        """Have members receive nothing more; return those that confirmed it."""
+        self._paused |= set(members)
+        return await self._ask(members, lambda control: control.pause(term))
+
+    async def demote(self, member: Member, term: Term) -> LogPosition:
+        """Stop a primary and return its last position.
+
+        :raises ControlFailed: where no answer comes.
+        """
+        return (await self._controls[member].demote(term)).received
+
+    async def prove_lead(self, member: Member) -> LogPosition | None:
+        """Return the position of a member that leads, or None."""
+        try:
+            return await self._controls[member].prove_lead()
+        except ControlFailed:
+            return None
+
+    async def _ask(
+        self,
+        members: Iterable[Member],
+        ask: Callable[[ControlConnection], Awaitable[UpstreamStatus]],
+    ) -> dict[Member, UpstreamStatus]:
+        """Ask members at once; who does not answer is left out."""
+        answers: dict[Member, UpstreamStatus] = {}
+
+        async def ask_one(member: Member) -> None:
+            try:
+                answers[member] = await ask(self._controls[member])
+            except ControlFailed as error:
+                extra = {"upstream": member.upstream_id, "reason": str(error)}
+                log.info("member does not answer", extra=extra)
+
+        async with trio.open_nursery() as nursery:
+            for member in members:
+                nursery.start_soon(ask_one, member)
+        return answers
+
+    def describe(self, statuses: dict[Member, UpstreamStatus]) -> dict[Member, Held]:
+        """Return what members hold, by their statuses."""
+        return {
+            member: Held(status.received, self._controls[member].upstream.is_leaving)
+            for member, status in statuses.items()
+        }
+
+    def suppose_paused(self) -> None:
+        """Note that an earlier holder of the duty may have paused any member."""
+        self._paused = set(self._controls)
+
+    async def resume_all(self) -> None:
+        """Let members receive again that were paused in a turn that is over."""
+        for member in list(self._paused):
+            control = self._controls.get(member)
+            if control is not None:
+                try:
+                    await control.resume()
+                except ControlFailed as error:
+                    extra = {"upstream": member.upstream_id, "reason": str(error)}
+                    log.warning("replica not resumed", extra=extra)
+                    continue
+            self._paused.discard(member)
+
+    async def drop(self, member: Member) -> None:
+        """Forget a member."""
+        extra = {"service": self._service, "upstream": member.upstream_id}
+        log.info("member dropped", extra=extra)
+        control = self._controls.pop(member, None)
+        if control is not None:
+            await control.close()
+
+    async def close(self) -> None:
+        """Close all connections; they are opened again when needed."""
+        for control in self._controls.values():
+            await control.close()
--- a/celeryfold/proxy/directory.py
+++ b/celeryfold/proxy/directory.py
@@ -129,7 +129,3 @@
     def list_service(self, service: ServiceId) -> list[Upstream]:
         """Return the upstreams of a service."""
         return [u for u in self._known.values() if u.service == service]
-
-    def is_missing(self, upstream_id: UpstreamId) -> bool:
-        """Tell whether an upstream is no longer listed."""
-        return upstream_id in self._missing_since
--- a/celeryfold/proxy/door.py
+++ b/celeryfold/proxy/door.py
@@ -21,10 +21,11 @@
 import msgspec
 import trio
 
-from ..exceptions import BadInput, CeleryfoldError
+from ..exceptions import CeleryfoldError
 from ..kernel.errors import ErrorKind
 from ..kernel.ids import RequestId
 from ..kernel.metrics import Metrics
+from ..wire.listening import open_listeners
 from .calls import Answer
 from .clock import Clock
 from .session import Session, SessionPorts
@@ -33,7 +34,6 @@
 
 log = logging.getLogger(__name__)
 
-LISTEN_BACKLOG = 1024
 # Clients give up on a session that is not ready within 2 s.
 FIRST_CONFIGURATION_S = 1.5
 START_TIMEOUT_S = 10.0
@@ -168,13 +168,7 @@
 
         :raises BadInput: where the port cannot be opened.
         """
-        try:
-            self._listeners = await trio.open_tcp_listeners(
-                self.port, host=self.host, backlog=LISTEN_BACKLOG
-            )
-        except OSError as error:
-            text = f"cannot listen on {self.host}:{self.port}: {error.strerror}"
-            raise BadInput(f"{text}; free the port or set another") from error
+        self._listeners = await open_listeners(self.host, self.port)
         self.port = self._listeners[0].socket.getsockname()[1]
         nursery.start_soon(self._accept, nursery)
 
--- a/celeryfold/proxy/guardian.py
+++ b/celeryfold/proxy/guardian.py
@@ -2,44 +2,31 @@
 
 from __future__ import annotations
 
-__all__ = [
-    "Guardian",
-    "GuardianPorts",
-    "PromotionRefused",
-    "PromotionUnanswered",
-    "Promotions",
-]
+__all__ = ["Guardian", "GuardianPorts"]
 
 import logging
 import math
-from abc import ABC, abstractmethod
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Collection
 from dataclasses import dataclass
 
-import msgspec
 import trio
 
 from ..exceptions import CeleryfoldError
-from ..kernel.ids import InstanceId, ServiceId, Term, UpstreamId
+from ..kernel.ids import InstanceId, ServiceId, Term
 from ..kernel.metrics import Metrics
 from ..kernel.rendezvous import weigh
 from .clock import Clock
-from .control import ControlConnection, ControlFailed
+from .control_book import ControlBook
 from .directory import Directory
+from .duty_record import DutyRecordKeeper
 from .leases import LEASE_S, Duty, DutyLost
-from .members import AckSet, Held, Member, choose_caught_up, choose_successor
+from .members import AckSet, Member, choose_caught_up, choose_successor
 from .peers import PeerBook
 from .positions import LogPosition
-from .routes import Routes
+from .promotions import PromotionRefused, Promotions, PromotionUnanswered
 from .samples import Sample, SampleBook
-from .store import CoordinationStore, Expectation, ItemWrite
-from .upstream import (
-    ConnectFailure,
-    Connector,
-    Upstream,
-    UpstreamRole,
-    UpstreamStatus,
-)
+from .store import CoordinationStore
+from .upstream import Connector, Upstream, UpstreamRole, UpstreamStatus
 from .watcher import StoreWatcher
 
 log = logging.getLogger(__name__)
@@ -62,35 +49,10 @@
 CATCH_UP_S = 1.0
 CATCH_UP_POLL_S = 0.05
 RETRY_S = 0.2
-# How often a guardian looks whether it is connected to all members.
-OPEN_INTERVAL_S = 1.0
 N_PROMOTE_TRIES = 8
 RANK_DELAY_S = 0.6
 
 
-class PromotionRefused(CeleryfoldError):
-    """The platform refused to promote: the token is old or the upstream is not up."""
-
-
-class PromotionUnanswered(CeleryfoldError):
-    """No answer came; the promotion may still happen, also later."""
-
-
-class Promotions(ABC):
-    """The platform's service that makes an upstream the primary."""
-
-    @abstractmethod
-    async def promote(
-        self, service: ServiceId, upstream: UpstreamId, holder: InstanceId, token: int
-    ) -> None:
-        """Make an upstream the primary of a service.
-
-        :param token: the fencing token of the duty.
-        :raises PromotionRefused: nothing was done.
-        :raises PromotionUnanswered: it may have been done or may be done later.
-        """
-
-
 @dataclass(frozen=True)
 class GuardianPorts:
     """Bundle what a guardian needs.
@@ -102,7 +64,6 @@
     me: InstanceId
     store: CoordinationStore
     watcher: StoreWatcher
-    routes: Routes
     directory: Directory
     samples: SampleBook
     peers: PeerBook
@@ -113,16 +74,6 @@
     metrics: Metrics
 
 
-class _Record(msgspec.Struct, frozen=True):
-    """Hold what a holder of the duty leaves to the next one.
-
-    :param turn_of: who may have ordered a promotion a moment ago, or empty.
-    """
-
-    members: tuple[Member, ...] = ()
-    turn_of: str = ""
-
-
 class Guardian:
     """Take the duty of one service when it is free, and act while it is held.
 
@@ -134,20 +85,18 @@
     ) -> None:
         self.service = service
         self._duty = duty
-        self._members_key = members_key
         self._ports = ports
         self._clock = ports.clock
+        self._record = DutyRecordKeeper(members_key, duty, ports.store)
+        self._controls = ControlBook(
+            service, ports.connector, ports.clock, ports.metrics
+        )
         self._ack_set = AckSet()
-        self._record = _Record()
-        self._record_revision = 0
         self._turn_at = -math.inf
-        self._opened_at = -math.inf
-        self._controls: dict[Member, ControlConnection] = {}
         self._started_at = ports.clock()
         self._free_since = math.inf
         self._act_at = math.inf
         self._ordered: Member | None = None
-        self._are_paused: set[Member] = set()
 
     @property
     def is_on_duty(self) -> bool:
@@ -174,18 +123,20 @@
             return
         if self._is_key_in_doubt():
             await self._duty.verify()
-        await self._write_record(self._clock() - self._turn_at < LEASE_S)
-        await self._open_controls()
+        is_turn_open = self._clock() - self._turn_at < LEASE_S
+        turn_of = self._ports.me if is_turn_open else ""
+        await self._record.update(self._ack_set.members, turn_of)
+        await self._controls.open_all()
         newest = self._ports.samples.newest(self.service)
         if newest is None:
             if self._clock() - self._started_at > FIRST_PRIMARY_S:
                 await self._suspect(None)
             return
         age_s = self._clock() - newest.taken_at
-        if age_s > SUSPECT_S or (age_s > OVERDUE_S and await self._is_down(newest)):
+        if age_s > SUSPECT_S or await self._is_down(newest):
             await self._suspect(newest)
             return
-        await self._resume_all()
+        await self._controls.resume_all()
         await self._settle(newest)
         leader = self._ports.directory.find(newest.upstream)
         if leader is not None and leader.is_leaving:
@@ -200,21 +151,13 @@
     def _refresh(self) -> None:
         listed = self._ports.directory.list_service(self.service)
         self._ack_set.update(listed, self._clock())
-        present = {Member(u.upstream_id, u.born_ms): u for u in listed}
-        for member, upstream in present.items():
-            known = self._controls.get(member)
-            if known is None or known.upstream.address != upstream.address:
-                self._controls[member] = ControlConnection(
-                    upstream, self._ports.connector, self._clock
-                )
-            else:
-                known.upstream = upstream
+        self._controls.refresh(listed)
 
     async def _seek(self) -> None:
         """Take the duty where nobody holds it; the first in rank goes first."""
         if self._duty.was_held:
             self._duty.drop("the lease ran out")
-            await self._close_controls()
+            await self._controls.close()
         item = self._ports.watcher.items.get(self._duty.key)
         if item is not None and self._duty.recognize(item):
             await self._take_up()
@@ -250,49 +193,11 @@
     async def _take_up(self) -> None:
         """Read what the last holder left; act once its turn is over for certain."""
         now = self._clock()
-        await self._read_record()
-        self._ack_set.restore(self._record.members, now)
-        is_turn_open = self._record.turn_of not in ("", self._ports.me)
+        record = await self._record.read()
+        self._ack_set.restore(record.members, now)
+        is_turn_open = record.turn_of not in ("", self._ports.me)
         self._act_at = now + LEASE_S if is_turn_open else now
-        self._are_paused = set(self._controls)
-
-    async def _read_record(self) -> None:
-        item = await self._ports.store.get(self._members_key)
-        self._record = _Record()
-        self._record_revision = 0
-        if item is None:
-            return
-        self._record_revision = item.revision
-        try:
-            self._record = msgspec.json.decode(item.value, type=_Record)
-        except msgspec.DecodeError as error:
-            extra = {"key": self._members_key, "reason": str(error)}
-            log.error("unreadable record", extra=extra)
-
-    async def _write_record(self, has_turn: bool) -> None:
-        """Write down what the next holder needs, where it changed.
-
-        :param has_turn: whether a promotion may be ordered, or was a moment ago.
-        """
-        members = tuple(sorted(self._ack_set.members))
-        record = _Record(members, self._ports.me if has_turn else "")
-        if record != self._record:
-            await self._commit_record(record)
-
-    async def _commit_record(self, record: _Record) -> None:
-        """Write the record, which the store does only while the duty is ours."""
-        expected = [
-            self._duty.expect(),
-            Expectation(self._members_key, self._record_revision),
-        ]
-        write = ItemWrite(self._members_key, msgspec.json.encode(record))
-        try:
-            self._record_revision = await self._ports.store.commit(expected, [write])
-        except CeleryfoldError:
-            await self._read_record()
-            await self._duty.verify()
-            raise
-        self._record = record
+        self._controls.suppose_paused()
 
     async def _begin_turn(self) -> None:
         """Have the store confirm the duty, and note that orders may follow.
@@ -300,36 +205,26 @@
         :raises CeleryfoldError: nothing may be ordered.
         """
         self._turn_at = self._clock()
-        members = tuple(sorted(self._ack_set.members))
-        await self._commit_record(_Record(members, self._ports.me))
+        await self._record.confirm(self._ack_set.members, self._ports.me)
 
     async def _settle(self, newest: Sample) -> None:
         """Drop members that are gone and whose commits others hold."""
         missing = self._ack_set.list_missing()
         if not missing:
             return
-        statuses = await self._ask_all(lambda control: control.read_status())
+        statuses = await self._controls.read_statuses()
         reached = {m.upstream_id: status.received for m, status in statuses.items()}
         dropped = self._ack_set.settle(
             newest.position, newest.taken_at, reached, newest.upstream
         )
         for member in dropped:
-            extra = {"service": self.service, "upstream": member.upstream_id}
-            log.info("member dropped", extra=extra)
-            control = self._controls.pop(member, None)
-            if control is not None:
-                await control.close()
+            await self._controls.drop(member)
 
     async def _is_down(self, newest: Sample) -> bool:
-        """Tell whether the primary's machine says that nothing listens there."""
-        for member, control in self._controls.items():
-            if member.upstream_id != newest.upstream:
-                continue
-            try:
-                await control.open()
-            except ControlFailed as error:
-                return error.failure is ConnectFailure.REFUSED
-        return False
+        """Tell whether a sample is due and the primary's host refuses connections."""
+        if self._clock() - newest.taken_at < OVERDUE_S:
+            return False
+        return await self._controls.is_refused(newest.upstream)
 
     async def _suspect(self, newest: Sample | None) -> None:
         """Fail over, unless a peer still hears from the primary."""
@@ -350,24 +245,21 @@
         The lost primary is not asked: it has just not answered.
         """
         lost = newest.upstream if newest is not None else None
-        others = [member for member in self._controls if member.upstream_id != lost]
-        statuses = await self._ask_all(lambda control: control.read_status(), others)
+        others = self._controls.list_others(lost)
+        statuses = await self._controls.read_statuses(others)
         if await self._find_present_leader(statuses):
             return
         await self._begin_turn()
         term = self._find_next_term(statuses, newest)
-        self._are_paused |= set(statuses)
-        paused = await self._ask_all(lambda control: control.pause(term), others)
+        paused = await self._controls.pause(others, term)
         required = [m for m in self._ack_set.members if m.upstream_id != lost]
-        held = self._describe_held(paused)
+        held = self._controls.describe(paused)
         chosen = choose_successor(required, held)
         if chosen is None:
             absent = [m.upstream_id for m in required if m not in held]
             self._log_turn("promotion waits for members", newest, absent=absent)
             return
-        if not all(self._controls[member].is_open for member in required):
-            return
-        await self._promote(chosen, term)
+        await self._promote(chosen, term, required)
 
     def _is_alone(self) -> bool:
         """Tell whether this instance hears no other, so that it may be cut off."""
@@ -390,10 +282,7 @@
 
     async def _prove(self, member: Member) -> bool:
         asked_at = self._clock()
-        try:
-            position = await self._controls[member].prove_lead()
-        except ControlFailed:
-            return False
+        position = await self._controls.prove_lead(member)
         if position is None:
             return False
         sample = Sample(member.upstream_id, position, asked_at)
@@ -410,82 +299,80 @@
             terms.append(newest.position.term)
         return Term(max(terms, default=Term(0)) + 1)
 
-    def _describe_held(
-        self, statuses: dict[Member, UpstreamStatus]
-    ) -> dict[Member, Held]:
-        return {
-            member: Held(
-                status.received,
-                self._controls[member].upstream.is_leaving,
-                self._controls[member].upstream.place,
-            )
-            for member, status in statuses.items()
-        }
-
     async def _hand_over(self, leader: Upstream, newest: Sample) -> None:
         """Replace a primary that is leaving, once another holds all it has."""
         me = Member(leader.upstream_id, leader.born_ms)
-        statuses = await self._ask_all(lambda control: control.read_status())
-        fit = {
-            member: held
-            for member, held in self._describe_held(statuses).items()
-            if not held.is_leaving and member != me
-        }
-        if not fit:
+        statuses = await self._controls.read_statuses()
+        held = self._controls.describe(statuses)
+        if not any(m != me and not h.is_leaving for m, h in held.items()):
             return
         self._log_turn("primary leaves", newest)
         await self._begin_turn()
         term = self._find_next_term(statuses, newest)
-        final = (await self._controls[me].demote(term)).received
+        final = await self._controls.demote(me, term)
         chosen = await self._wait_caught_up(final)
-        await self._promote(chosen or me, term)
+        await self._promote(chosen or me, term, ())
 
     async def _wait_caught_up(self, final: LogPosition) -> Member | None:
         """Return a replica that has received all of a stopped primary."""
         with trio.move_on_after(CATCH_UP_S):
             while True:
-                statuses = await self._ask_all(lambda control: control.read_status())
-                chosen = choose_caught_up(final, self._describe_held(statuses))
+                statuses = await self._controls.read_statuses()
+                chosen = choose_caught_up(final, self._controls.describe(statuses))
                 if chosen is not None:
                     return chosen
                 await trio.sleep(CATCH_UP_POLL_S)
         return None
 
-    async def _promote(self, chosen: Member, term: Term) -> None:
-        """Promote a member and wait until it leads."""
+    async def _promote(
+        self, chosen: Member, term: Term, stopped: Collection[Member]
+    ) -> None:
+        """Promote a member and wait until it leads.
+
+        :param stopped: members that have to stay paused until then; one that started
+            again receives, and may acknowledge what the chosen one lacks.
+        """
         if self._ordered not in (None, chosen):
             await self._duty.renew_token()
         self._ordered = chosen
         for _ in range(N_PROMOTE_TRIES):
-            token = self._duty.use_token()
-            wait_s = LEAD_WAIT_S
-            self._turn_at = self._clock()
-            extra = {
-                "service": self.service,
-                "upstream": chosen.upstream_id,
-                "term": term,
-                "token": token,
-            }
-            log.info("promotion ordered", extra=extra)
-            self._ports.metrics.count("failover.ordered")
-            try:
-                await self._ports.promotions.promote(
-                    self.service, chosen.upstream_id, self._ports.me, token
-                )
-            except PromotionRefused as error:
-                log.warning("promotion refused", extra={**extra, "reason": str(error)})
-                await self._duty.renew_token()
+            if not self._controls.are_open(stopped):
                 return
-            except PromotionUnanswered as error:
-                wait_s = REPEAT_S
-                extra["reason"] = str(error)
-                log.warning("promotion unanswered", extra=extra)
+            wait_s = await self._order(chosen, term)
             if await self._wait_lead(chosen, wait_s):
                 self._ordered = None
+                extra = {"service": self.service, "upstream": chosen.upstream_id}
                 log.info("primary changed", extra=extra)
-                await self._resume_all()
+                await self._controls.resume_all()
                 return
 
+    async def _order(self, chosen: Member, term: Term) -> float:
+        """Order a promotion; return how long to wait for it before the next order.
+
+        :raises PromotionRefused: after a newer token was taken.
+        """
+        token = self._duty.use_token()
+        self._turn_at = self._clock()
+        extra: dict[str, object] = {
+            "service": self.service,
+            "upstream": chosen.upstream_id,
+            "term": term,
+            "token": token,
+        }
+        log.info("promotion ordered", extra=extra)
+        self._ports.metrics.count("failover.ordered")
+        try:
+            await self._ports.promotions.promote(
+                self.service, chosen.upstream_id, self._ports.me, token
+            )
+        except PromotionRefused:
+            await self._duty.renew_token()
+            raise
+        except PromotionUnanswered as error:
+            log.warning("promotion unanswered", extra={**extra, "reason": str(error)})
+            return REPEAT_S
+        return LEAD_WAIT_S
+
     async def _wait_lead(self, chosen: Member, wait_s: float) -> bool:
         with trio.move_on_after(wait_s):
             while True:
@@ -494,62 +381,6 @@
                 await trio.sleep(LEAD_POLL_S)
         return False
 
-    async def _resume_all(self) -> None:
-        """Let replicas receive again that were paused in a turn that is over."""
-        for member in list(self._are_paused):
-            control = self._controls.get(member)
-            if control is not None:
-                try:
-                    await control.resume()
-                except ControlFailed as error:
-                    extra = {"upstream": member.upstream_id, "reason": str(error)}
-                    log.warning("replica not resumed", extra=extra)
-                    continue
-            self._are_paused.discard(member)
-
-    async def _ask_all(
-        self,
-        ask: Callable[[ControlConnection], Awaitable[UpstreamStatus]],
-        members: Iterable[Member] | None = None,
-    ) -> dict[Member, UpstreamStatus]:
-        """Ask members at once, all where none are named; left out is who is silent."""
-        answers: dict[Member, UpstreamStatus] = {}
-
-        async def ask_one(member: Member, control: ControlConnection) -> None:
-            try:
-                answers[member] = await ask(control)
-            except ControlFailed as error:
-                extra = {"upstream": member.upstream_id, "reason": str(error)}
-                log.info("member does not answer", extra=extra)
-
-        async with trio.open_nursery() as nursery:
-            for member in self._controls if members is None else members:
-                nursery.start_soon(ask_one, member, self._controls[member])
-        return answers
-
-    async def _open_controls(self) -> None:
-        """Connect to all members before it is needed.
-
-        When a primary is lost, statements may have taken every connection.
-        """
-        if self._clock() - self._opened_at < OPEN_INTERVAL_S:
-            return
-        self._opened_at = self._clock()
-        async with trio.open_nursery() as nursery:
-            for control in self._controls.values():
-                if not control.is_open:
-                    nursery.start_soon(self._open_control, control)
-
-    async def _open_control(self, control: ControlConnection) -> None:
-        try:
-            await control.open()
-        except ControlFailed:
-            self._ports.metrics.count("failover.control_not_opened")
-
-    async def _close_controls(self) -> None:
-        for control in self._controls.values():
-            await control.close()
-
     def _log_turn(self, text: str, newest: Sample | None, **inputs: object) -> None:
         extra: dict[str, object] = {"service": self.service, **inputs}
         if newest is not None:
--- a/celeryfold/proxy/home.py
+++ b/celeryfold/proxy/home.py
@@ -6,7 +6,7 @@
 
 import random
 import secrets
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -117,16 +117,25 @@
             text = f"no connections to {message.upstream} are held here"
             return HomeReply(is_not_home=True, text=text)
         self._metrics.count("home.served")
+
+        async def run() -> HomeReply:
+            batch = await lane.run(message.work)
+            return HomeReply(tuple(batch.replies), self._keep(batch.held))
+
+        return await self._describe_end(run)
+
+    async def _describe_end(self, run: Callable[[], Awaitable[HomeReply]]) -> HomeReply:
+        """Run work and return its reply, or how it failed."""
         self._n_running += 1
         try:
-            batch = await lane.run(message.work)
+            return await run()
         except NotRun as failure:
             return HomeReply(not_run=failure.kind, text=failure.text)
         except ExchangeFailed as failure:
-            return _describe(failure)
+            replies = tuple(failure.replies)
+            return HomeReply(replies, ending=failure.ending, text=str(failure))
         finally:
             self._n_running -= 1
-        return HomeReply(tuple(batch.replies), self._keep(batch.held))
 
     def _keep(self, held: HeldConnection | None) -> TransactionId:
         if held is None:
@@ -140,20 +149,16 @@
         if found is None:
             text = "the transaction is no longer open here"
             return HomeReply(ending=Ending.LOST, text=text)
-        self._n_running += 1
-        try:
-            replies = await found.held.run(message.work)
-        except NotRun as failure:
-            return HomeReply(not_run=failure.kind, text=failure.text)
-        except ExchangeFailed as failure:
-            return _describe(failure)
-        finally:
-            self._n_running -= 1
-        if not found.held.is_over:
+
+        async def run() -> HomeReply:
+            replies = tuple(await found.held.run(message.work))
+            if found.held.is_over:
+                return HomeReply(replies)
             found.used_at = self._clock()
             self._open[message.transaction] = found
-            return HomeReply(tuple(replies), message.transaction)
-        return HomeReply(tuple(replies))
+            return HomeReply(replies, message.transaction)
+
+        return await self._describe_end(run)
 
     async def _abandon(self, message: AbandonHeld) -> HomeReply:
         found = self._open.pop(message.transaction, None)
@@ -171,10 +176,6 @@
                 self._metrics.count("home.abandoned")
 
 
-def _describe(failure: ExchangeFailed) -> HomeReply:
-    return HomeReply(tuple(failure.replies), ending=failure.ending, text=str(failure))
-
-
 class RemoteLane(Lane):
     """The way to an upstream through its homes.
 
--- a/celeryfold/proxy/instance.py
+++ b/celeryfold/proxy/instance.py
@@ -17,12 +17,13 @@
 from .clock import Clock
 from .directory import Directory
 from .door import ClientChannel, SessionDoor
-from .guardian import Guardian, GuardianPorts, Promotions
+from .guardian import Guardian, GuardianPorts
 from .home import HomeDoor
 from .lane_book import LaneBook
 from .leases import Duty, LeaseKeeper
 from .messages import Peer
 from .peers import PeerBook, PeerNews
+from .promotions import Promotions
 from .reads import ReadRunner
 from .routes import DEFAULT_TRANSACTION_IDLE_S, Route, Routes
 from .routing import Router
@@ -256,7 +257,6 @@
             me=settings.instance_id,
             store=self._platform.store,
             watcher=self.watcher,
-            routes=self.routes,
             directory=self.directory,
             samples=self.samples,
             peers=self.peers,
--- a/celeryfold/proxy/members.py
+++ b/celeryfold/proxy/members.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from ..kernel.ids import PlaceId, UpstreamId
+from ..kernel.ids import UpstreamId
 from .positions import LogPosition
 from .upstream import Upstream
 
@@ -28,7 +28,6 @@
 
     received: LogPosition
     is_leaving: bool
-    place: PlaceId
 
 
 class AckSet:
--- a/celeryfold/proxy/reads.py
+++ b/celeryfold/proxy/reads.py
@@ -6,35 +6,28 @@
 
 from dataclasses import dataclass
 
-import trio
-
 from ..kernel.errors import ErrorKind
 from ..kernel.ids import UpstreamId
 from .answers import RETRIED_ELSEWHERE, Sent, find_answer
-from .calls import Call, OwnWrite, remaining_s
+from .calls import Call, OwnWrite
 from .exchanges import ExchangeFailed
-from .lanes import Lane, NotRun
+from .lanes import NotRun
 from .positions import LogPosition
 from .routes import Consistency
-from .runner import ATTEMPT_SHARE, Runner, describe_error
+from .runner import ATTEMPT_SHARE, Plan, Runner, describe_error
 from .samples import Sample
 from .statements import Begin, Request, Rollback
 from .upstream import Reply
 
-N_TRIES = 6
-# Replicas lag by some tens of milliseconds; a round over all of them waits this long.
-ROUND_PAUSE_S = 0.02
-
 
 @dataclass(frozen=True)
-class _Plan:
+class _Plan(Plan):
     """Say where a read runs.
 
     :param since: the position it must see; None inside a transaction of our own, which
         only the primary opens.
     """
 
-    lane: Lane
     since: LogPosition | None
 
 
@@ -58,25 +51,12 @@
 
         :raises RequestFailure: where none could be had in time.
         """
-        avoided: set[UpstreamId] = set()
-        failure: NotRun | None = None
-        for _ in range(N_TRIES):
-            if remaining_s(call, self.clock) <= 0:
-                break
-            plan = self._plan(call, avoided)
-            if plan is None and avoided:
-                avoided.clear()
-                await trio.sleep(ROUND_PAUSE_S)
-                continue
-            if plan is None:
-                plan = _Plan(await self.wait_leader(call), None)
-            try:
-                return await self._attempt(call, plan)
-            except NotRun as error:
-                failure = error
-                avoided.add(plan.lane.upstream.upstream_id)
-                self.log_retry(call, plan.lane, error)
-        raise self.give_up(call, failure, "no upstream ran the read in time")
+        return await self.try_upstreams(
+            call,
+            lambda avoided: self._plan(call, avoided),
+            lambda lane: _Plan(lane, None),
+            lambda plan: self._attempt(call, plan),
+        )
 
     def _plan(self, call: Call, avoided: set[UpstreamId]) -> _Plan | None:
         """Choose an upstream; the primary in a transaction where no sample will do."""
--- a/celeryfold/proxy/runner.py
+++ b/celeryfold/proxy/runner.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
-__all__ = ["ATTEMPT_SHARE", "Runner", "describe_error"]
+__all__ = ["ATTEMPT_SHARE", "Plan", "Runner", "describe_error"]
 
 import logging
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import TypeVar
 
 import trio
 
 from ..exceptions import RequestFailure
 from ..kernel.errors import ErrorKind
+from ..kernel.ids import UpstreamId
 from ..kernel.metrics import Metrics
 from .answers import Ending, Sent, find_answer
 from .calls import Call, remaining_s
@@ -35,6 +39,19 @@
 # The part of the time left after which work without an answer that may be repeated is
 # sent elsewhere.
 ATTEMPT_SHARE = 0.5
+N_TRIES = 6
+# Replicas lag by some tens of milliseconds; a round over all of them waits this long.
+ROUND_PAUSE_S = 0.02
+
+
+@dataclass(frozen=True)
+class Plan:
+    """Say where a call runs; runners add how."""
+
+    lane: Lane
+
+
+P = TypeVar("P", bound=Plan)
 
 
 class Runner:
@@ -81,6 +98,40 @@
                 self.note_begin(lane, reply, sent_at)
         return batch
 
+    async def try_upstreams(
+        self,
+        call: Call,
+        make_plan: Callable[[set[UpstreamId]], P | None],
+        make_leader_plan: Callable[[Lane], P],
+        attempt: Callable[[P], Awaitable[Reply]],
+    ) -> Reply:
+        """Return the reply of the first upstream that runs a call.
+
+        :param make_plan: plans around upstreams that were tried, None where none is
+            left or known.
+        :param make_leader_plan: plans at the primary, once one is known.
+        :raises RequestFailure: where none ran it in time.
+        """
+        avoided: set[UpstreamId] = set()
+        failure: NotRun | None = None
+        for _ in range(N_TRIES):
+            if remaining_s(call, self.clock) <= 0:
+                break
+            plan = make_plan(avoided)
+            if plan is None and avoided:
+                avoided.clear()
+                await trio.sleep(ROUND_PAUSE_S)
+                continue
+            if plan is None:
+                plan = make_leader_plan(await self.wait_leader(call))
+            try:
+                return await attempt(plan)
+            except NotRun as error:
+                failure = error
+                avoided.add(plan.lane.upstream.upstream_id)
+                self.log_retry(call, plan.lane, error)
+        raise self.give_up(call, failure, "no upstream ran the statement in time")
+
     async def wait_leader(self, call: Call) -> Lane:
         """Return the lane to the service's primary, once there is one.
 
--- a/celeryfold/proxy/tests/test_evidence.py
+++ b/celeryfold/proxy/tests/test_evidence.py
@@ -134,7 +134,7 @@
     ack_set.update([make_upstream(name) for name in NAMES], 0.0)
     required = [m for m in ack_set.members if m.upstream_id != NAMES[0]]
     held = {
-        Member(NAMES[number], 1): Held(at(1, n), False, PlaceId("a"))
+        Member(NAMES[number], 1): Held(at(1, n), False)
         for number, n in received.items()
         if number not in silent
     }
@@ -148,13 +148,12 @@
 
 def test_one_that_stays_is_preferred_only_where_nothing_is_lost():
     leaving, staying = Member(NAMES[1], 1), Member(NAMES[2], 1)
-    place = PlaceId("a")
-    held = {leaving: Held(at(1, 9), True, place), staying: Held(at(1, 9), False, place)}
+    held = {leaving: Held(at(1, 9), True), staying: Held(at(1, 9), False)}
     assert choose_successor(held, held) == staying
-    held[leaving] = Held(at(1, 10), True, place)
+    held[leaving] = Held(at(1, 10), True)
     assert choose_successor(held, held) == leaving
     assert choose_caught_up(at(1, 10), held) is None
-    held[staying] = Held(at(1, 10), False, place)
+    held[staying] = Held(at(1, 10), False)
     assert choose_caught_up(at(1, 10), held) == staying
 
 
--- a/celeryfold/proxy/transactions.py
+++ b/celeryfold/proxy/transactions.py
@@ -7,22 +7,19 @@
 from dataclasses import dataclass
 
 import msgspec
-import trio
 
 from ..exceptions import RequestFailure
 from ..kernel.ids import UpstreamId
 from .answers import RETRIED_ELSEWHERE, Ending, Sent, find_answer
-from .calls import Call, remaining_s
+from .calls import Call
 from .exchanges import ExchangeFailed
 from .lanes import HeldConnection, Lane, NotRun
-from .reads import ROUND_PAUSE_S, find_needed
+from .reads import find_needed
 from .routes import Consistency
-from .runner import ATTEMPT_SHARE, Runner, describe_error
+from .runner import ATTEMPT_SHARE, Plan, Runner, describe_error
 from .statements import Access, Begin, Commit, Execute, Request, Write
 from .upstream import Reply, TransactionState
 
-N_TRIES = 6
-
 
 @dataclass
 class OpenTransaction:
@@ -50,8 +47,9 @@
 
 
 @dataclass(frozen=True)
-class _Plan:
-    lane: Lane
+class _Plan(Plan):
+    """Say how a transaction is opened."""
+
     begin: Request
 
 
@@ -76,25 +74,12 @@
 
     async def _run_first(self, call: Call, transaction: OpenTransaction) -> Reply:
         """Open the transaction at an upstream; nothing of it has run before."""
-        avoided: set[UpstreamId] = set()
-        failure: NotRun | None = None
-        for _ in range(N_TRIES):
-            if remaining_s(call, self.clock) <= 0:
-                break
-            plan = self._plan(call, transaction, avoided)
-            if plan is None and avoided:
-                avoided.clear()
-                await trio.sleep(ROUND_PAUSE_S)
-                continue
-            if plan is None:
-                plan = _Plan(await self.wait_leader(call), Request(Begin()))
-            try:
-                return await self._open(call, transaction, plan)
-            except NotRun as error:
-                failure = error
-                avoided.add(plan.lane.upstream.upstream_id)
-                self.log_retry(call, plan.lane, error)
-        raise self.give_up(call, failure, "no upstream took the transaction in time")
+        return await self.try_upstreams(
+            call,
+            lambda avoided: self._plan(call, transaction, avoided),
+            lambda lane: _Plan(lane, Request(Begin())),
+            lambda plan: self._open(call, transaction, plan),
+        )
 
     def _plan(
         self, call: Call, transaction: OpenTransaction, avoided: set[UpstreamId]
--- a/celeryfold/standins/replicas.py
+++ b/celeryfold/standins/replicas.py
@@ -19,8 +19,8 @@
     Term,
     UpstreamId,
 )
-from ..proxy.guardian import PromotionRefused, Promotions, PromotionUnanswered
 from ..proxy.positions import LogPosition
+from ..proxy.promotions import PromotionRefused, Promotions, PromotionUnanswered
 from ..proxy.statements import (
     Access,
     Begin,
--- a/celeryfold/wire/client.py
+++ b/celeryfold/wire/client.py
@@ -2,7 +2,14 @@
 
 from __future__ import annotations
 
-__all__ = ["HttpChannel", "HttpClient", "Unanswered", "Unreachable", "split_address"]
+__all__ = [
+    "HttpChannel",
+    "HttpClient",
+    "Unanswered",
+    "Unreachable",
+    "is_address",
+    "split_address",
+]
 
 import ssl
 from collections.abc import Callable, Sequence
@@ -36,6 +43,12 @@
     return host, int(port)
 
 
+def is_address(text: str) -> bool:
+    """Tell whether a text is an address that :func:`split_address` takes."""
+    host, _, port = text.rpartition(":")
+    return bool(host) and port.isdigit()
+
+
 class HttpChannel:
     """Hold one connection; after a failure it is closed and never used again.
 
--- a/celeryfold/wire/server.py
+++ b/celeryfold/wire/server.py
@@ -14,9 +14,10 @@
 import h11
 import trio
 
-from ..exceptions import BadInput, RequestFailure
+from ..exceptions import RequestFailure
 from ..kernel.errors import ErrorKind
 from .answers import make_failure_response
+from .listening import open_listeners
 from .messages import MAX_BODY_BYTES, MAX_HEADER_BYTES, HttpRequest, HttpResponse
 
 log = logging.getLogger(__name__)
@@ -26,7 +27,6 @@
 REQUEST_READ_TIMEOUT_S = 10.0
 WRITE_TIMEOUT_S = 10.0
 LINGER_S = 0.5
-LISTEN_BACKLOG = 1024
 HEADERS_TEXT = f"the headers are over {MAX_HEADER_BYTES} bytes; send less"
 
 
@@ -70,13 +70,7 @@
 
         :raises BadInput: where the port cannot be opened.
         """
-        try:
-            self._listeners = await trio.open_tcp_listeners(
-                self.port, host=self.host, backlog=LISTEN_BACKLOG
-            )
-        except OSError as error:
-            text = f"cannot listen on {self.host}:{self.port}: {error.strerror}"
-            raise BadInput(f"{text}; free the port or set another") from error
+        self._listeners = await open_listeners(self.host, self.port)
         self.port = self._listeners[0].socket.getsockname()[1]
         nursery.start_soon(self._accept, nursery)
 
