Let a home that stops wait for the transactions of others

Cause: a home ended once its own sessions had, also with transactions of other instances open. Change: it waits for them within the grace period.

--- a/celeryfold/proxy/clock.py
+++ b/celeryfold/proxy/clock.py
@@ -13,7 +13,7 @@
 def read_boot_clock() -> float:
     """Return seconds since boot, those asleep included.
 
-    The monotonic clock stops while a machine sleeps, so that evidence and leases would
+    The monotonic clock stops while a host sleeps, so that evidence and leases would
     look younger than they are; the time of day jumps.
     """
     return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/celeryfold/proxy/door.py
+++ b/celeryfold/proxy/door.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 __all__ = [
+    "EXIT_MARGIN_S",
     "ClientChannel",
     "ClientGone",
     "ClientMessage",
--- a/celeryfold/proxy/guardian.py
+++ b/celeryfold/proxy/guardian.py
@@ -34,7 +34,7 @@
 STEP_S = 0.25
 # Two missed samples and a round trip between regions.
 SUSPECT_S = 0.9
-# A sample is due by then: time to see whether the primary's machine refuses us.
+# A sample is due by then: time to see whether the primary's host refuses us.
 OVERDUE_S = 0.5
 # Who has just asked all peers and heard none of them may be cut off itself.
 PEERS_HEARD_S = 0.5
--- a/celeryfold/proxy/instance.py
+++ b/celeryfold/proxy/instance.py
@@ -16,7 +16,7 @@
 from ..links.link import PeerLink
 from .clock import Clock
 from .directory import Directory
-from .door import ClientChannel, SessionDoor
+from .door import EXIT_MARGIN_S, ClientChannel, SessionDoor
 from .guardian import Guardian, GuardianPorts
 from .home import HomeDoor
 from .lane_book import LaneBook
@@ -41,6 +41,7 @@
 
 KEY_PREFIX = "celeryfold/"
 HOUSEKEEPING_S = 0.5
+STOP_POLL_S = 0.02
 # A quiet watch is answered after 4 s, and peers pass that on within two exchanges.
 STORE_AGE_S = 6.5
 
@@ -172,13 +173,17 @@
         await self.door.start(nursery)
 
     async def stop(self) -> None:
-        """Hand over what is held here and end all sessions."""
+        """Hand over duties, end all sessions and finish what runs here for others."""
         self.peers.me = msgspec.structs.replace(self.peers.me, is_leaving=True)
         self._guarding.cancel()
+        end_at = trio.current_time() + self.settings.grace_s - EXIT_MARGIN_S
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.keeper.end)
             await self.door.stop(self.settings.grace_s)
             nursery.cancel_scope.cancel()
+        with trio.move_on_at(end_at):
+            while self.home.n_busy:
+                await trio.sleep(STOP_POLL_S)
 
     async def close(self) -> None:
         """Release everything."""
--- a/celeryfold/proxy/tests/test_homes.py
+++ b/celeryfold/proxy/tests/test_homes.py
@@ -209,3 +209,28 @@
         assert not lane.is_cut
 
     assert not play(story).replicas.promotions
+
+
+def test_a_home_that_stops_waits_for_the_transactions_of_others():
+    async def story(world: ProxyWorld) -> None:
+        number = find_entry(world)
+        session = world.open_session(number, PRIMARY)
+        await world.run(session, Begin())
+        await world.run(session, Write("a 1"))
+        [home] = world.instances[number].lanes._list_other_homes(FIRST)
+        instance = world.instances[int(home.instance_id.removeprefix("instance-"))]
+        stopped = trio.Event()
+
+        async def stop() -> None:
+            await instance.stop()
+            stopped.set()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stop)
+            await trio.sleep(3.5)
+            assert not stopped.is_set()
+            assert (await world.run(session, Commit())).error is None
+            await trio.sleep(0.5)
+            assert stopped.is_set()
+
+    play_crowded(story)
--- a/celeryfold/proxy/upstream.py
+++ b/celeryfold/proxy/upstream.py
@@ -101,7 +101,7 @@
 class ConnectFailure(Enum):
     """Tell why no connection was opened.
 
-    REFUSED: the machine said that nothing listens, so the upstream does not run.
+    REFUSED: the host said that nothing listens, so the upstream does not run.
     """
 
     UNREACHABLE = "unreachable"
--- a/celeryfold/standins/replicas.py
+++ b/celeryfold/standins/replicas.py
@@ -180,7 +180,7 @@
     def crash(self, upstream_id: UpstreamId, is_silent: bool = False) -> None:
         """End a database; it keeps its log.
 
-        :param is_silent: its machine answers nothing, not even that nothing listens.
+        :param is_silent: its host answers nothing, not even that nothing listens.
         """
         database = self.databases[upstream_id]
         database.is_alive = False
