--- a/celeryfold/proxy/guardian.py
+++ b/celeryfold/proxy/guardian.py
@@ -202,8 +202,13 @@
     async def _begin_turn(self) -> None:
         """Have the store confirm the duty, and note that orders may follow.
 
+        Upstreams are read anew: one that came back a moment ago may have acknowledged
+        commits by now.
+
         :raises CeleryfoldError: nothing may be ordered.
         """
+        await self._ports.watcher.read_upstreams()
+        self._refresh()
         self._turn_at = self._clock()
         await self._record.confirm(self._ack_set.members, self._ports.me)
 
@@ -251,6 +256,7 @@
             return
         await self._begin_turn()
         term = self._find_next_term(statuses, newest)
+        others = self._controls.list_others(lost)
         paused = await self._controls.pause(others, term)
         required = [m for m in self._ack_set.members if m.upstream_id != lost]
         held = self._controls.describe(paused)
--- a/celeryfold/proxy/tests/test_failover.py
+++ b/celeryfold/proxy/tests/test_failover.py
@@ -387,3 +387,26 @@
         assert len(limits) == 3
 
     play(story)
+
+
+def test_a_replica_that_came_back_unseen_is_stopped_too():
+    """It acknowledged alone before the watch of the store told of it."""
+
+    async def story(world: ProxyWorld) -> None:
+        session = world.open_session(0, PRIMARY)
+        await world.run(session, Write("a 1"))
+        world.replicas.crash(THIRD)
+        await trio.sleep(10.0)
+        for instance in world.instances:
+            assert len(instance.directory.list_all()) == 2
+            instance.watcher._is_needed = lambda: False
+        await trio.sleep(6.0)
+        world.replicas.revive(THIRD)
+        await trio.sleep(1.5)
+        world.replicas.databases[SECOND].is_deaf = True
+        assert (await world.run(session, Write("a 2"))).error is None
+        world.replicas.crash(FIRST, is_silent=True)
+        world.replicas.databases[SECOND].is_deaf = False
+        await wait_written(world, 1, 10.0)
+
+    check_nothing_lost(play(story))
--- a/celeryfold/proxy/tests/test_promises.py
+++ b/celeryfold/proxy/tests/test_promises.py
@@ -61,13 +61,22 @@
             if number in self._world.killed:
                 await trio.sleep(0.05)
                 continue
-            consistency = self._random.choice(list(Consistency))
-            session = self._world.open_session(number, consistency)
-            await self._world.run(session, SetValue("client", str(self._seed)))
-            for _ in range(self._random.randrange(1, 6)):
-                await self._act(session, consistency)
-                await trio.sleep(self._random.uniform(0.0, 0.1))
-            session.close()
+            try:
+                await self._run_session(number)
+            except RuntimeError:
+                # The instance was killed meanwhile: its tasks cannot go on, and a real
+                # client sees the connection break.
+                if number not in self._world.killed:
+                    raise
+
+    async def _run_session(self, number: int) -> None:
+        consistency = self._random.choice(list(Consistency))
+        session = self._world.open_session(number, consistency)
+        await self._world.run(session, SetValue("client", str(self._seed)))
+        for _ in range(self._random.randrange(1, 6)):
+            await self._act(session, consistency)
+            await trio.sleep(self._random.uniform(0.0, 0.1))
+        session.close()
 
     async def _act(self, session: Session, consistency: Consistency) -> None:
         action = self._random.choice(["read", "read", "write", "transaction"])
--- a/celeryfold/proxy/watcher.py
+++ b/celeryfold/proxy/watcher.py
@@ -119,17 +119,25 @@
         return trio.current_time() - self._listed_at > RELIST_S
 
     async def _list_all(self) -> None:
-        listed = await self._store.list_items(self._decoder.upstream_prefix)
+        as_of = await self.read_upstreams()
         await self._read_table()
         own = await self._store.list_items(self._own_prefix)
         self._note_regained()
         self.items = {item.key: item for item in own.items}
+        self._as_of = max(self._as_of, as_of)
+        self._listed_at = trio.current_time()
+
+    async def read_upstreams(self) -> int:
+        """Read all upstreams as the store has them now; return its revision.
+
+        :raises StoreUnavailable: where the store gives no answer.
+        """
+        listed = await self._store.list_items(self._decoder.upstream_prefix)
         self._upstreams = {}
         for item in listed.items:
             self._take_upstream(item)
-        self._as_of = max(self._as_of, listed.as_of)
-        self._listed_at = trio.current_time()
         self._publish(listed.as_of)
+        return listed.as_of
 
     async def _read_table(self) -> None:
         """Read the configuration, which a watch that was cut may have missed."""
