Replace watchers that the store turns away

Ruled out: peers that did not answer (they had nothing newer); the watch itself. Change: an instance tells with its news whether the store answers it, and one that is answered watches in its place; watches are answered each 1.5 s, so that 3.2 s without word is too long.

--- a/celeryfold/proxy/instance.py
+++ b/celeryfold/proxy/instance.py
@@ -42,8 +42,8 @@
 KEY_PREFIX = "celeryfold/"
 HOUSEKEEPING_S = 0.5
 STOP_POLL_S = 0.02
-# A quiet watch is answered after 4 s, and peers pass that on within two exchanges.
-STORE_AGE_S = 6.5
+# A quiet watch is answered each 2.3 s, and peers pass that on within two exchanges.
+STORE_AGE_S = 3.2
 
 
 @dataclass(frozen=True)
@@ -137,7 +137,7 @@
             self.directory,
             metrics,
             self._must_watch,
-            self.news.hear_store,
+            self._note_store,
         )
         self.sampler = Sampler(
             Runner(*parts),
@@ -216,8 +216,19 @@
         return table.transaction_idle_s if table else DEFAULT_TRANSACTION_IDLE_S
 
     def _must_watch(self) -> bool:
-        """Tell whether to watch the store: one of a place, or who hears nothing new."""
-        return self.peers.is_watcher() or self.news.store_age_s > STORE_AGE_S
+        """Tell whether to watch the store.
+
+        One of a place does, who hears nothing new, and who was turned away, until the
+        store answers again.
+        """
+        if self.peers.is_watcher() or not self.peers.me.reaches_store:
+            return True
+        return self.news.store_age_s > STORE_AGE_S
+
+    def _note_store(self, is_reached: bool) -> None:
+        self.peers.note_store(is_reached)
+        if is_reached:
+            self.news.hear_store()
 
     def _samples_for_all(self, service: ServiceId) -> bool:
         """Tell whether this instance samples a service for all others.
--- a/celeryfold/proxy/messages.py
+++ b/celeryfold/proxy/messages.py
@@ -15,12 +15,14 @@
     """Describe an instance.
 
     :param address: where other instances connect.
+    :param reaches_store: whether the store answered it last, or was not asked.
     """
 
     instance_id: InstanceId
     address: str
     place: PlaceId
     is_leaving: bool = False
+    reaches_store: bool = True
 
 
 class AgedPeer(msgspec.Struct, frozen=True, array_like=True):
--- a/celeryfold/proxy/peers.py
+++ b/celeryfold/proxy/peers.py
@@ -9,6 +9,7 @@
 import random
 from collections.abc import Callable, Mapping, Sequence
 
+import msgspec
 import trio
 
 from ..exceptions import CeleryfoldError
@@ -70,6 +71,11 @@
         self._spoke_at = 0.0
         self._alive: set[InstanceId] = set()
 
+    def note_store(self, is_reached: bool) -> None:
+        """Tell others from now on whether the store answers this instance."""
+        if self.me.reaches_store != is_reached:
+            self.me = msgspec.structs.replace(self.me, reaches_store=is_reached)
+
     def hear(self, peer: Peer) -> None:
         """Note that a peer has just spoken."""
         self._spoke_at = self._clock()
@@ -144,11 +150,14 @@
         return bool(self._seeds)
 
     def find_watchers(self) -> dict[PlaceId, Peer]:
-        """Return the instances that watch the store, one of each data centre."""
+        """Return the instances that watch the store, one of each data centre.
+
+        One that the store turns away leaves it to another, where there is one.
+        """
         first: dict[PlaceId, Peer] = {}
         for peer in [self.me, *self.list_alive()]:
             known = first.get(peer.place, peer)
-            first[peer.place] = min(known, peer, key=lambda p: p.instance_id)
+            first[peer.place] = min(known, peer, key=_rank_watcher)
         return first
 
     def is_watcher(self) -> bool:
@@ -200,6 +209,10 @@
         log.info(text, extra=extra)
 
 
+def _rank_watcher(peer: Peer) -> tuple[bool, InstanceId]:
+    return not peer.reaches_store, peer.instance_id
+
+
 class PeerNews:
     """Ask peers for what they know and answer the same.
 
--- a/celeryfold/proxy/tests/test_store_faults.py
+++ b/celeryfold/proxy/tests/test_store_faults.py
@@ -246,3 +246,25 @@
         assert one.was_held
 
     run_with_duties(story)
+
+
+def test_watchers_that_the_store_turns_away_are_replaced():
+    """All watchers are refused, the other instance of each place is not."""
+
+    async def story(world: ProxyWorld) -> None:
+        refusing = MemoryStore()
+        refusing.is_down = True
+        for instance in world.instances:
+            if instance.peers.is_watcher():
+                instance.watcher._store = refusing
+        await trio.sleep(0.1)
+        world.publish(5)
+        await trio.sleep(3.5)
+        assert list_versions(world) == [5] * 6
+        for instance in world.instances:
+            instance.watcher._store = world.store
+        await trio.sleep(6.0)
+        watching = [i for i in world.instances if i.peers.is_watcher()]
+        assert len(watching) == 3
+
+    play(story, ProxyWorld(n_instances=6))
--- a/celeryfold/proxy/watcher.py
+++ b/celeryfold/proxy/watcher.py
@@ -28,9 +28,11 @@
 
 # Changes come in bursts; asking at once after each answer would be a call for each.
 WATCH_PAUSE_S = 0.8
-WATCH_WAIT_S = 4.0
-RETRY_S = 0.4
+WATCH_WAIT_S = 1.5
+RETRY_S = 0.6
 NOT_NEEDED_PAUSE_S = 0.5
+# A change that a watch has missed is found before it is due everywhere.
+TABLE_READ_S = 3.0
 # A watch may miss changes that were dropped from the history while it was cut.
 RELIST_S = 10.0
 
@@ -57,7 +59,7 @@
     """Keep the routes, the directory and the known duty keys up to date.
 
     :param is_needed: tells whether this instance shall watch; else it hears from peers.
-    :param note_heard: called whenever the store has answered.
+    :param note_reached: told whether the store has answered, after each call.
     """
 
     def __init__(
@@ -68,11 +70,11 @@
         directory: Directory,
         metrics: Metrics,
         is_needed: Callable[[], bool],
-        note_heard: Callable[[], None],
+        note_reached: Callable[[bool], None],
     ) -> None:
         self._store = store
         self._is_needed = is_needed
-        self._note_heard = note_heard
+        self._note_reached = note_reached
         self._decoder = decoder
         self._routes = routes
         self._directory = directory
@@ -80,6 +82,7 @@
         self._upstreams: dict[UpstreamId, Upstream] = {}
         self._as_of = 0
         self._listed_at = 0.0
+        self._table_read_at = 0.0
         self.is_connected = False
         self.items: dict[str, Item] = {}
 
@@ -111,7 +114,7 @@
         self._note_regained()
         self._as_of = max(self._as_of, changes.as_of)
         self._apply(changes)
-        if not changes.changes:
+        if trio.current_time() - self._table_read_at > TABLE_READ_S:
             await self._read_table()
         await trio.sleep(WATCH_PAUSE_S)
 
@@ -142,6 +145,7 @@
     async def _read_table(self) -> None:
         """Read the configuration, which a watch that was cut may have missed."""
         table = await self._store.get(self._decoder.table_key)
+        self._table_read_at = trio.current_time()
         if table is not None:
             self._adopt_table(table)
 
@@ -207,9 +211,10 @@
         if self.is_connected:
             log.warning("store lost", extra={"reason": reason, "as_of": self._as_of})
         self.is_connected = False
+        self._note_reached(False)
 
     def _note_regained(self) -> None:
         if not self.is_connected:
             log.info("store reached", extra={"as_of": self._as_of})
         self.is_connected = True
-        self._note_heard()
+        self._note_reached(True)
