--- a/celeryfold/proxy/tests/test_exploration.py
+++ b/celeryfold/proxy/tests/test_exploration.py
@@ -10,11 +10,9 @@
 A promotion takes effect at once here, so that a replica which starts again between its
 pause and the promotion is not seen; the guardian checks that none has.
 
-Assumed of time: an entry lapses after three heartbeats, 3.6 s, and a guardian on duty
-looks at the list within a second or two, so that it has seen a life of a replica
-before that is over. Without that, a replica that was dropped may return, acknowledge
-alone, and die and lapse or come back empty unseen; its commit is then lost with the
-primary (found by this test, 10 and 11 events).
+The full check finds a loss: a replica that had been dropped returns, acknowledges alone
+and dies, and the guardian never saw that life of it. It is listed in KNOWN-RED.txt. The
+second check leaves out just the lives that end unseen.
 """
 
 from __future__ import annotations
@@ -65,12 +63,17 @@
 
 @dataclass(frozen=True)
 class Rules:
-    """Switch single rules off, to see that each is needed."""
+    """Switch single rules off, to see that each is needed.
+
+    :param sees_every_life: leave out lives of replicas that end before the guardian has
+        looked at the list; an assumption, not a rule.
+    """
 
     waits_for_missing: bool = True
     tells_lives_apart: bool = True
     covers_before_dropping: bool = True
     reads_list_first: bool = True
+    sees_every_life: bool = True
 
 
 def set_replica(state: State, index: int, **changes: object) -> State:
@@ -111,7 +114,7 @@
     return LogPosition(Term(1), Position(number))
 
 
-def step_service(state: State) -> Iterator[State]:
+def step_service(state: State, rules: Rules) -> Iterator[State]:
     """What happens to databases by themselves."""
     if state.is_leading and state.n_written < N_COMMITS:
         yield replace(state, n_written=state.n_written + 1)
@@ -129,6 +132,7 @@
         else:
             member = Member(UpstreamId(NAMES[index]), replica.life)
             is_seen = not replica.is_listed or (member, False) in state.known
+            is_seen |= not rules.sees_every_life
             if replica.is_listed and is_seen:
                 yield set_replica(state, index, is_listed=False)
             yield set_replica(state, index, is_alive=True, is_listed=True)
@@ -204,7 +208,7 @@
         held = promote(state, rules)
         if held is not None and held < state.n_acknowledged:
             return trace(before, state)
-        for following in [*step_service(state), *step_guardian(state, rules)]:
+        for following in [*step_service(state, rules), *step_guardian(state, rules)]:
             if following not in before:
                 before[following] = state
                 queue.append(following)
@@ -219,6 +223,10 @@
 
 
 def test_no_order_of_events_loses_an_acknowledged_commit():
+    assert explore(Rules(sees_every_life=False)) is None
+
+
+def test_no_commit_is_lost_while_the_guardian_sees_every_life():
     assert explore(Rules()) is None
 
 
--- a/celeryfold/proxy/tests/test_promises.py
+++ b/celeryfold/proxy/tests/test_promises.py
@@ -7,7 +7,7 @@
 
 import pytest
 import trio
-from hypothesis import given
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from celeryfold.conftest import count_examples
@@ -251,10 +251,10 @@
 @pytest.mark.proof
 @pytest.mark.parametrize("n_connections", [16, 5])
 def test_no_promise_is_broken_under_random_faults(n_connections):
+    # 10641: an instance was killed in the middle of a client's statement.
+    @example(10641)
     @given(st.integers(0, 1_000_000))
     def hold(seed: int) -> None:
         check(*run_faults(seed, n_connections))
 
-    from hypothesis import settings
-
     settings(max_examples=count_examples(6, 100))(hold)()
