--- a/celeryfold/commands/explain.py
+++ b/celeryfold/commands/explain.py
@@ -51,6 +51,7 @@
         try:
             fields = msgspec.json.decode(text[start:], type=dict[str, Any])
         except msgspec.DecodeError:
+            # Not a line of ours, or one that was cut.
             continue
         if all(name in fields for name in ("asctime", "message", "process")):
             at, process, message = (
--- a/celeryfold/platform/lines.py
+++ b/celeryfold/platform/lines.py
@@ -10,11 +10,11 @@
 
 from ..exceptions import CeleryfoldError
 
-# The pages' limit of a message.
+# The protocol's limit of a message.
 MAX_LINE_BYTES = 1024 * 1024
 READ_BYTES = 65_536
 LINE_END = b"\r\n"
-# Data that a peer does not acknowledge: within it, a dead machine is noticed before
+# Data that a peer does not acknowledge: within it, a dead host is noticed before
 # statements time out; a cut shorter than it is ridden out.
 USER_TIMEOUT_MS = 2000
 KEEPALIVE_IDLE_S = 2
--- a/celeryfold/proxy/control.py
+++ b/celeryfold/proxy/control.py
@@ -8,7 +8,6 @@
 
 from ..exceptions import CeleryfoldError
 from ..kernel.ids import Term
-from .clock import Clock
 from .positions import LogPosition
 from .statements import (
     Begin,
@@ -49,13 +48,11 @@
 class ControlConnection:
     """Give orders to one upstream on a connection of its own."""
 
-    def __init__(self, upstream: Upstream, connector: Connector, clock: Clock) -> None:
+    def __init__(self, upstream: Upstream, connector: Connector) -> None:
         self.upstream = upstream
         self._connector = connector
-        self._clock = clock
         self._connection: UpstreamConnection | None = None
         self._lock = trio.Lock()
-        self.n_opened = 0
 
     @property
     def is_open(self) -> bool:
@@ -77,7 +74,6 @@
             raise ControlFailed(str(error), error.failure) from error
         except trio.TooSlowError as error:
             raise ControlFailed("no connection in time") from error
-        self.n_opened += 1
 
     async def read_status(self) -> UpstreamStatus:
         """Return the upstream's status.
--- a/celeryfold/proxy/control_book.py
+++ b/celeryfold/proxy/control_book.py
@@ -48,9 +48,7 @@
             member = Member(upstream.upstream_id, upstream.born_ms)
             known = self._controls.get(member)
             if known is None or known.upstream.address != upstream.address:
-                self._controls[member] = ControlConnection(
-                    upstream, self._connector, self._clock
-                )
+                self._controls[member] = ControlConnection(upstream, self._connector)
             else:
                 known.upstream = upstream
 
@@ -81,8 +79,9 @@
     async def _open(self, control: ControlConnection) -> None:
         try:
             await control.open()
-        except ControlFailed:
+        except ControlFailed as error:
             self._metrics.count("failover.control_not_opened")
+            _log_silence(control.upstream.upstream_id, error)
 
     async def is_refused(self, upstream_id: UpstreamId) -> bool:
         """Tell whether an upstream's host says that nothing listens there."""
@@ -120,7 +119,8 @@
         """Return the position of a member that leads, or None."""
         try:
             return await self._controls[member].prove_lead()
-        except ControlFailed:
+        except ControlFailed as error:
+            _log_silence(member.upstream_id, error)
             return None
 
     async def _ask(
@@ -135,8 +135,7 @@
             try:
                 answers[member] = await ask(self._controls[member])
             except ControlFailed as error:
-                extra = {"upstream": member.upstream_id, "reason": str(error)}
-                log.info("member does not answer", extra=extra)
+                _log_silence(member.upstream_id, error)
 
         async with trio.open_nursery() as nursery:
             for member in members:
@@ -179,3 +178,8 @@
         """Close all connections; they are opened again when needed."""
         for control in self._controls.values():
             await control.close()
+
+
+def _log_silence(upstream_id: UpstreamId, error: ControlFailed) -> None:
+    extra = {"upstream": upstream_id, "reason": str(error)}
+    log.info("member does not answer", extra=extra)
--- a/celeryfold/proxy/door.py
+++ b/celeryfold/proxy/door.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "EXIT_MARGIN_S",
+    "STOP_POLL_S",
     "ClientChannel",
     "ClientGone",
     "ClientMessage",
@@ -46,6 +47,8 @@
 OUT_OF_ROTATION_S = 2.4
 # What is left of the grace period to close everything and end the process.
 EXIT_MARGIN_S = 0.5
+# How often to look whether what runs has ended, while stopping.
+STOP_POLL_S = 0.02
 
 
 class StartSession(msgspec.Struct, frozen=True):
@@ -179,11 +182,6 @@
                 self._serve, self._listeners, handler_nursery=nursery
             )
 
-    @property
-    def n_busy(self) -> int:
-        """Sessions that run a statement."""
-        return sum(served.resting is None for served in self._served)
-
     @property
     def n_sessions(self) -> int:
         """Sessions that are open."""
@@ -207,7 +205,7 @@
         self._wake_resting()
         with trio.move_on_at(started_at + grace_s - EXIT_MARGIN_S):
             while self._served:
-                await trio.sleep(0.02)
+                await trio.sleep(STOP_POLL_S)
         if self._served:
             log.warning("sessions cut at the end", extra={"n": len(self._served)})
 
--- a/celeryfold/proxy/guardian.py
+++ b/celeryfold/proxy/guardian.py
@@ -77,17 +77,17 @@
 class Guardian:
     """Take the duty of one service when it is free, and act while it is held.
 
-    :param members_key: the key that the members are written to.
+    :param record_key: the key of what is left to the next holder.
     """
 
     def __init__(
-        self, service: ServiceId, duty: Duty, members_key: str, ports: GuardianPorts
+        self, service: ServiceId, duty: Duty, record_key: str, ports: GuardianPorts
     ) -> None:
         self.service = service
         self._duty = duty
         self._ports = ports
         self._clock = ports.clock
-        self._record = DutyRecordKeeper(members_key, duty, ports.store)
+        self._record = DutyRecordKeeper(record_key, duty, ports.store)
         self._controls = ControlBook(
             service, ports.connector, ports.clock, ports.metrics
         )
@@ -307,17 +307,17 @@
 
     async def _hand_over(self, leader: Upstream, newest: Sample) -> None:
         """Replace a primary that is leaving, once another holds all it has."""
-        me = Member(leader.upstream_id, leader.born_ms)
+        leaving = Member(leader.upstream_id, leader.born_ms)
         statuses = await self._controls.read_statuses()
         held = self._controls.describe(statuses)
-        if not any(m != me and not h.is_leaving for m, h in held.items()):
+        if not any(m != leaving and not h.is_leaving for m, h in held.items()):
             return
         self._log_turn("primary leaves", newest)
         await self._begin_turn()
         term = self._find_next_term(statuses, newest)
-        final = await self._controls.demote(me, term)
+        final = await self._controls.demote(leaving, term)
         chosen = await self._wait_caught_up(final)
-        await self._promote(chosen or me, term, ())
+        await self._promote(chosen or leaving, term, ())
 
     async def _wait_caught_up(self, final: LogPosition) -> Member | None:
         """Return a replica that has received all of a stopped primary."""
--- a/celeryfold/proxy/instance.py
+++ b/celeryfold/proxy/instance.py
@@ -4,7 +4,6 @@
 
 __all__ = ["Platform", "ProxyInstance", "ProxySettings"]
 
-import logging
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
@@ -16,7 +15,7 @@
 from ..links.link import PeerLink
 from .clock import Clock
 from .directory import Directory
-from .door import EXIT_MARGIN_S, ClientChannel, SessionDoor
+from .door import EXIT_MARGIN_S, STOP_POLL_S, ClientChannel, SessionDoor
 from .guardian import Guardian, GuardianPorts
 from .home import HomeDoor
 from .lane_book import LaneBook
@@ -37,11 +36,8 @@
 from .watcher import EntryDecoder, StoreWatcher
 from .writes import WriteRunner
 
-log = logging.getLogger(__name__)
-
 KEY_PREFIX = "celeryfold/"
 HOUSEKEEPING_S = 0.5
-STOP_POLL_S = 0.02
 # A quiet watch is answered each 2.3 s, and peers pass that on within two exchanges.
 STORE_AGE_S = 3.2
 
@@ -138,6 +134,7 @@
             metrics,
             self._must_watch,
             self._note_store,
+            KEY_PREFIX,
         )
         self.sampler = Sampler(
             Runner(*parts),
@@ -164,7 +161,7 @@
     async def start(self, nursery: trio.Nursery) -> None:
         """Take up all work."""
         await self.lanes.start(nursery)
-        nursery.start_soon(self.watcher.run, KEY_PREFIX)
+        nursery.start_soon(self.watcher.run)
         nursery.start_soon(self.news.run)
         nursery.start_soon(self.sampler.run)
         nursery.start_soon(self.keeper.run)
--- a/celeryfold/proxy/peers.py
+++ b/celeryfold/proxy/peers.py
@@ -281,6 +281,7 @@
         try:
             news = await self._link.request(address, question, EXCHANGE_TIMEOUT_S)
         except CeleryfoldError:
+            # A peer that stays silent is logged as lost.
             self._metrics.count("peer.unanswered")
             return
         if isinstance(news, News):
--- a/celeryfold/proxy/sampler.py
+++ b/celeryfold/proxy/sampler.py
@@ -127,6 +127,7 @@
         )
         try:
             await self._runner.run_work(lane, work)
+        # Lanes log lost upstreams, and a change of primary its first sample.
         except NotRun:
             self._metrics.count("sample.not_taken")
         except ExchangeFailed:
--- a/celeryfold/proxy/samples.py
+++ b/celeryfold/proxy/samples.py
@@ -22,10 +22,8 @@
 N_SAMPLES_KEPT = 64
 # Two samples closer than this are worth one.
 SAMPLE_SPACING_S = 0.1
-
-
 # Without a sign of life for longer a primary gets no statements: they would end without
-# a known outcome. Three sample intervals.
+# a known outcome. News takes about a second over three hops.
 LEADER_KEPT_S = 1.2
 # An upstream that said it does not lead is not asked first for this long.
 REFUSAL_KEPT_S = 1.0
--- a/celeryfold/proxy/session.py
+++ b/celeryfold/proxy/session.py
@@ -4,6 +4,7 @@
 
 __all__ = ["Session", "SessionPorts"]
 
+import logging
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 
@@ -33,6 +34,8 @@
 from .upstream import Reply, TransactionState, UpstreamError
 from .writes import WriteRunner
 
+log = logging.getLogger(__name__)
+
 MAX_PREPARED = 1000
 MAX_VALUES = 1000
 
@@ -78,6 +81,7 @@
         self._transaction: OpenTransaction | None = None
         self._own_write: OwnWrite | None = None
         self._route: Route | None = None
+        self._last_request = RequestId("")
 
     @property
     def state(self) -> TransactionState:
@@ -90,6 +94,7 @@
 
     async def run(self, request_id: RequestId, statement: Statement) -> Answer:
         """Run one statement and return its answer, an error among them."""
+        self._last_request = request_id
         try:
             return await self._run(request_id, statement)
         except RequestFailure as failure:
@@ -227,19 +232,29 @@
         return route
 
     def expire_idle(self) -> None:
-        """Undo a transaction that has rested for too long."""
+        """Undo a transaction that has rested for too long.
+
+        Its client hears so with its next statement.
+        """
         transaction = self._transaction
         if transaction is None or transaction.has_failed:
             return
         if self._ports.clock() - transaction.used_at > self._ports.transaction_idle_s:
-            self.abort()
-
-    def abort(self) -> None:
-        """Undo the open transaction; its client hears so with its next statement."""
-        if self._transaction is not None and not self._transaction.has_failed:
-            self._transaction.abandon()
-            self._transaction.has_failed = True
+            self._log_undone("rested for too long")
+            transaction.abandon()
+            transaction.has_failed = True
 
     def close(self) -> None:
-        """Undo what is open; the client has gone."""
+        """Undo what is open; the session has ended."""
+        if self.state is TransactionState.OPEN:
+            self._log_undone("the session ended")
         self._end_transaction()
+
+    def _log_undone(self, reason: str) -> None:
+        """Log that an open transaction is undone without its client's word."""
+        extra = {
+            "request": self._last_request,
+            "database": self.database,
+            "reason": reason,
+        }
+        log.info("transaction undone", extra=extra)
--- a/celeryfold/proxy/tests/test_promises.py
+++ b/celeryfold/proxy/tests/test_promises.py
@@ -18,8 +18,8 @@
 from celeryfold.proxy.routes import Consistency
 from celeryfold.proxy.session import Session
 from celeryfold.proxy.statements import Begin, Commit, Read, Rollback, SetValue, Write
+from celeryfold.standins.database import BEFORE_ANY, Run
 from celeryfold.standins.proxies import ProxyWorld
-from celeryfold.standins.replicas import BEFORE_ANY, Run
 
 from .test_sessions import play
 
--- a/celeryfold/proxy/watcher.py
+++ b/celeryfold/proxy/watcher.py
@@ -59,6 +59,7 @@
     """Keep the routes, the directory and the known duty keys up to date.
 
     :param is_needed: tells whether this instance shall watch; else it hears from peers.
+    :param own_prefix: prefix of the keys of this product, kept in ``items``.
     :param note_reached: told whether the store has answered, after each call.
     """
 
@@ -71,7 +72,9 @@
         metrics: Metrics,
         is_needed: Callable[[], bool],
         note_reached: Callable[[bool], None],
+        own_prefix: str,
     ) -> None:
+        self._own_prefix = own_prefix
         self._store = store
         self._is_needed = is_needed
         self._note_reached = note_reached
@@ -86,12 +89,8 @@
         self.is_connected = False
         self.items: dict[str, Item] = {}
 
-    async def run(self, own_prefix: str) -> None:
-        """Follow the store until cancelled.
-
-        :param own_prefix: prefix of the keys of this product, kept in ``items``.
-        """
-        self._own_prefix = own_prefix
+    async def run(self) -> None:
+        """Follow the store until cancelled."""
         while True:
             if not self._is_needed():
                 self._as_of = 0
--- /dev/null
+++ b/celeryfold/standins/database.py
@@ -0,0 +1,79 @@
+"""The state of one database in memory."""
+
+from __future__ import annotations
+
+__all__ = ["BEFORE_ANY", "Database", "Entry", "Run"]
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from ..kernel.ids import Position, RequestId, Term, UpstreamId
+from ..proxy.positions import LogPosition
+from ..proxy.upstream import Upstream, UpstreamRole
+
+if TYPE_CHECKING:
+    from .replica_session import ReplicaSession
+
+BEFORE_ANY = LogPosition(Term(1), Position(0))
+
+
+@dataclass(frozen=True)
+class Entry:
+    """Hold one commit of the log."""
+
+    position: LogPosition
+    writes: tuple[tuple[str, str, RequestId], ...]
+
+
+@dataclass(frozen=True)
+class Run:
+    """Record that a client's statement was run.
+
+    :param connection: tells connections apart.
+    :param values: the connection's session values at that moment.
+    :param seen: the commits that the statement's log held.
+    """
+
+    upstream: UpstreamId
+    request_id: RequestId
+    connection: int
+    in_transaction: bool
+    values: dict[str, str]
+    shape: str
+    seen: LogPosition
+    at: float
+
+
+@dataclass
+class Database:
+    """Hold the state of one database and the faults it has now."""
+
+    upstream: Upstream
+    role: UpstreamRole
+    term: Term = Term(1)
+    held_term: Term = Term(1)
+    log: list[Entry] = field(default_factory=list)
+    n_applied: int = 0
+    lag_s: float = 0.02
+    is_alive: bool = True
+    is_silent: bool = False
+    is_deaf: bool = False
+    paused_term: Term | None = None
+    connections: set[ReplicaSession] = field(default_factory=set)
+
+    @property
+    def received(self) -> LogPosition:
+        """The position of the last entry received."""
+        return self.log[-1].position if self.log else BEFORE_ANY
+
+    @property
+    def applied(self) -> LogPosition:
+        """The position of the last entry applied."""
+        return self.log[self.n_applied - 1].position if self.n_applied else BEFORE_ANY
+
+    def holds(self, position: LogPosition) -> bool:
+        """Tell whether the applied log contains a position."""
+        if position == BEFORE_ANY:
+            return True
+        held = self.log[: self.n_applied]
+        return any(entry.position == position for entry in held)
