Remove two causes of random failures from tests of the whole program

Cause of test_finishing_needs_the_drain: the callers wrote 40 times each and had all ended before the instance stopped in some runs; nothing was in progress then, and nothing could be cut off. The callers now write until the instance stops, which it does at the first moment with a request in progress. The test of the drain itself gets stricter by it.

Cause of 'the objects could not be published': all processes start at once, and the store stand-in answers later than the second that one call waits. Shown by pausing the store for 1.5 s during the start (test_deployment_starts_although_the_store_pauses, failing first with the same message). The deployment publishes again until the store has answered.

--- a/celeryfold/bench/processes.py
+++ b/celeryfold/bench/processes.py
@@ -6,6 +6,7 @@
     "ProcessDeployment",
     "ProcessDeploymentSettings",
     "find_free_ports",
+    "publish_until_stored",
     "run_process_deployment",
 ]
 
@@ -25,9 +26,10 @@
 from returns.result import Success
 
 from ..config.objects import Catalog, ObjectSet
-from ..config.publishing import publish
+from ..config.publishing import Unavailable, publish
 from ..drivers.http_store import HttpStore
 from ..drivers.listing import ListedInstance, Listing
+from ..drivers.store import Store
 from ..exceptions import BadInput
 from ..groups.record import GroupRecord
 from ..http_handlers import InstanceReport
@@ -116,9 +118,7 @@
         await self._publish_instance_list()
         for name in self.caller_addresses:
             self.start_instance(name)
-        published = await publish(HttpStore(self.store_address), self.objects)
-        if not isinstance(published, Success):
-            raise BadInput(f"the objects could not be published: {published}")
+        await publish_until_stored(HttpStore(self.store_address), self.objects)
         await self.wait_ready(list(self.caller_addresses))
 
     def _start_platform(self) -> None:
@@ -294,6 +294,26 @@
             process.wait()
 
 
+async def publish_until_stored(store: Store, objects: ObjectSet) -> None:
+    """Publish objects, again after each attempt that the store does not answer in time.
+
+    The processes of a deployment start at the same time and share the processors, so
+    the store may take longer than one call waits.
+
+    :raises BadInput: if the store refuses them, or does not answer within
+        ``READY_TIMEOUT_S``.
+    """
+    deadline = trio.current_time() + READY_TIMEOUT_S
+    while True:
+        published = await publish(store, objects)
+        if isinstance(published, Success):
+            return
+        is_final = not isinstance(published.failure(), Unavailable)
+        if is_final or trio.current_time() > deadline:
+            raise BadInput(f"the objects could not be published: {published}")
+        await trio.sleep(READY_CHECK_S)
+
+
 def run_process_deployment(
     settings: ProcessDeploymentSettings,
     measure: Callable[[ProcessDeployment], Awaitable[T]],
--- a/celeryfold/tests/test_mechanisms.py
+++ b/celeryfold/tests/test_mechanisms.py
@@ -39,6 +39,7 @@
 
 SERVICE = ENTRIES.service
 LEAVE_TIMEOUT_S = 3.0
+START_TIMEOUT_S = 1.0
 
 
 def make_write(marker: str, owner: str, key: str) -> StatementRequest:
@@ -334,12 +335,17 @@
 async def stop_under_load(
     simulation: Simulation, name: InstanceId, n_callers: int, after_s: float
 ) -> list[object]:
-    """Drain and stop an instance while requests run on it; return their answers."""
+    """Drain and stop an instance while requests run on it; return their answers.
+
+    The instance is stopped at the first moment after ``after_s`` seconds at which a
+    request is in progress on it.
+    """
     owner = SimulatedClients(simulation).find_owner("g1")
+    entry = simulation.instances[name].entry
     answers: list[object] = []
 
     async def write_repeatedly(number: int) -> None:
-        for count in range(40):
+        for count in itertools.count():
             endpoint = LocalEndpoint(simulation, name)
             if name not in simulation.instances:
                 return
@@ -350,6 +356,9 @@
         for number in range(n_callers):
             nursery.start_soon(write_repeatedly, number)
         await trio.sleep(after_s)
+        with trio.fail_after(START_TIMEOUT_S):
+            while not entry.n_in_progress:
+                await trio.sleep(0.001)
         await simulation.stop(name)
     return answers
 
--- a/celeryfold/tests/test_processes.py
+++ b/celeryfold/tests/test_processes.py
@@ -58,6 +58,24 @@
     trio.run(run)
 
 
+def test_deployment_starts_although_the_store_pauses(deployment):
+    """All processes start at the same time, and the store may not run for a while."""
+
+    async def pause_store() -> None:
+        while "i3" not in deployment.processes:
+            await trio.sleep(0)
+        deployment.signal("store", signal.SIGSTOP)
+        await trio.sleep(1.5)
+        deployment.signal("store", signal.SIGCONT)
+
+    async def run() -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(pause_store)
+            await deployment.start()
+
+    trio.run(run)
+
+
 def test_graceful_shutdown_cuts_no_request_in_progress(deployment):
     answers: list[object] = []
 
