Send a session's set-up ahead of its statements; survive unexpected errors

Cause 1: values and prepared names of a session were sent together with its statement. An upstream that refused the set-up still ran the statement, with the values of another session, and the executor reported that nothing ran: a write ran twice, or was refused as not run. Change: the statement is sent once the set-up has succeeded; a refused or lost set-up closes the connection and counts as not run. Costs a round trip to the upstream where a connection has to be set up.

Cause 2: an entry in the store with an unusable address (port 99999, a NUL in the host), a configuration of a peer that cannot be decoded, or any unexpected error in a background task ended the whole process, a store entry that of all instances.

--- a/celeryfold/platform/entries.py
+++ b/celeryfold/platform/entries.py
@@ -4,6 +4,7 @@
 
 __all__ = ["PlatformEntryDecoder"]
 
+import re
 from typing import Annotated
 
 import msgspec
@@ -13,7 +14,7 @@
 from ..proxy.routes import Consistency, Route, RouteTable, ServiceRules
 from ..proxy.upstream import Upstream, UpstreamRole
 from ..proxy.watcher import EntryDecoder
-from ..wire.client import is_address
+from ..wire.client import is_ip_address
 
 DEFAULT_N_CONNECTIONS = 16
 
@@ -24,7 +25,11 @@
 }
 _ROLES = {"primary": UpstreamRole.PRIMARY, "replica": UpstreamRole.REPLICA}
 _IS_LEAVING_BY_STATE = {"ready": False, "draining": True}
-_NonEmptyStr = Annotated[str, msgspec.Meta(min_length=1)]
+# Names are sent to databases as fields of a line, so they hold no blanks.
+_Name = Annotated[str, msgspec.Meta(pattern=r"\A[!-~]+\Z")]
+_NAME = re.compile(r"[!-~]+")
+# Entries are passed on between instances in a format with 64-bit integers.
+_Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 
 
 class _ServerEntry(msgspec.Struct):
@@ -35,14 +40,14 @@
     :param cold_ms: further milliseconds that the database is slow after its start.
     """
 
-    service: _NonEmptyStr
-    address: _NonEmptyStr
-    zone: _NonEmptyStr
-    slots: int
+    service: _Name
+    address: _Name
+    zone: _Name
+    slots: _Count
     state: str
     seq_no: int
     db_role: str | None = None
-    born: int = 0
+    born: _Count = 0
     cold_ms: float = 0
 
 
@@ -91,7 +96,9 @@
             entry = msgspec.json.decode(value, type=_ServerEntry)
         except (msgspec.DecodeError, UnicodeDecodeError):
             return None
-        if entry.state not in _IS_LEAVING_BY_STATE or not is_address(entry.address):
+        if entry.state not in _IS_LEAVING_BY_STATE:
+            return None
+        if not _NAME.fullmatch(upstream_id) or not is_ip_address(entry.address):
             return None
         return Upstream(
             upstream_id=upstream_id,
--- a/celeryfold/platform/store.py
+++ b/celeryfold/platform/store.py
@@ -213,7 +213,10 @@
 
 
 def _make_item(body: _ItemBody) -> Item:
-    value = base64.b64decode(body.value)
+    try:
+        value = base64.b64decode(body.value, validate=True)
+    except ValueError as error:
+        raise StoreUnavailable(f"malformed value of {body.key}: {error}") from error
     return Item(body.key, value, body.revision, body.created)
 
 
--- a/celeryfold/platform/tests/test_decoding.py
+++ b/celeryfold/platform/tests/test_decoding.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import json
+
 import msgspec
 import pytest
 from hypothesis import given
@@ -190,6 +192,36 @@
     assert DECODER.decode_upstream(UpstreamId("i-1"), value) is None
 
 
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"address": "10.0.0.1:99999"},
+        {"address": "10.0.0.1:0"},
+        {"address": "10.0.0.1:\u00b2"},
+        {"address": "10.0.0.1"},
+        {"address": "h\u0000x:1"},
+        {"address": "-1:80"},
+        {"address": "database.example:80"},
+        {"service": "a b"},
+        {"service": "a\r\nQUERY x WRITE"},
+        {"zone": ""},
+        {"born": 10**30},
+        {"born": -1},
+        {"slots": 10**25},
+    ],
+)
+def test_an_entry_that_cannot_be_used_is_left_out(change):
+    """Such an address raised an error of the socket and ended each instance."""
+    value = json.dumps({**ENTRY, **change}).encode()
+    assert DECODER.decode_upstream(UpstreamId("i-1"), value) is None
+
+
+def test_an_entry_under_a_name_with_blanks_is_left_out():
+    value = msgspec.json.encode(ENTRY)
+    assert DECODER.decode_upstream(UpstreamId("i-1 x"), value) is None
+    assert DECODER.decode_upstream(UpstreamId("i-1"), value) is not None
+
+
 def test_a_configuration_is_decoded():
     table = DECODER.decode_table(msgspec.json.encode(CONFIG))
     route = table.routes["fiti832ti23"]
--- a/celeryfold/proxy/instance.py
+++ b/celeryfold/proxy/instance.py
@@ -12,6 +12,7 @@
 
 from ..kernel.ids import InstanceId, PlaceId, RegionId, ServiceId
 from ..kernel.metrics import Metrics
+from ..kernel.supervision import supervise
 from ..links.link import PeerLink
 from .client_listener import EXIT_MARGIN_S, STOP_POLL_S, ClientChannel, ClientListener
 from .clock import Clock
@@ -166,12 +167,16 @@
     async def start(self, nursery: trio.Nursery) -> None:
         """Start all components in a nursery."""
         await self.executors.start(nursery)
-        nursery.start_soon(self.watcher.run)
-        nursery.start_soon(self.gossip.run)
-        nursery.start_soon(self.sampler.run)
-        nursery.start_soon(self.lease_manager.run)
+        components = {
+            "watcher": self.watcher.run,
+            "gossip": self.gossip.run,
+            "sampler": self.sampler.run,
+            "leases": self.lease_manager.run,
+            "housekeeping": self._run_housekeeping,
+        }
+        for name, run in components.items():
+            nursery.start_soon(supervise, name, run, self.metrics)
         nursery.start_soon(self._run_guardians)
-        nursery.start_soon(self._run_housekeeping)
         await self.client_listener.start(nursery)
 
     async def stop(self) -> None:
@@ -265,17 +270,28 @@
             self.home_server.expire()
 
     async def _run_guardians(self) -> None:
-        """Run a guardian for the service of each route."""
+        """Run a guardian for the service of each route until the instance stops."""
         with self._guardian_scope:
-            async with trio.open_nursery() as nursery:
-                while True:
-                    table = self.routes.table
-                    for service in table.list_services() if table else []:
-                        if service not in self._guardians:
-                            guardian = self._make_guardian(service)
-                            self._guardians[service] = guardian
-                            nursery.start_soon(guardian.run)
-                    await self.routes.wait_until_changed()
+            await supervise("guardians", self._start_guardians, self.metrics)
+
+    async def _start_guardians(self) -> None:
+        async with trio.open_nursery() as nursery:
+            for service, guardian in self._guardians.items():
+                self._start_guardian(service, guardian, nursery)
+            while True:
+                table = self.routes.table
+                for service in table.list_services() if table else []:
+                    if service not in self._guardians:
+                        guardian = self._make_guardian(service)
+                        self._guardians[service] = guardian
+                        self._start_guardian(service, guardian, nursery)
+                await self.routes.wait_until_changed()
+
+    def _start_guardian(
+        self, service: ServiceId, guardian: Guardian, nursery: trio.Nursery
+    ) -> None:
+        name = f"guardian of {service}"
+        nursery.start_soon(supervise, name, guardian.run, self.metrics)
 
     def _make_guardian(self, service: ServiceId) -> Guardian:
         settings = self.settings
--- a/celeryfold/proxy/local_executor.py
+++ b/celeryfold/proxy/local_executor.py
@@ -9,6 +9,7 @@
 from ..exceptions import RequestFailure
 from ..kernel.errors import ErrorKind
 from .admission import AdmissionLimiter
+from .answers import SentRequest, find_error_kind
 from .clock import Clock
 from .exchanges import ExchangeFailed, exchange
 from .executors import Executor, PinnedConnection, RetryableFailure, Work, WorkResult
@@ -88,38 +89,53 @@
         return None
 
     async def exchange(self, pooled: PooledConnection, work: Work) -> list[Reply]:
-        """Set a session's state on a connection and run requests on it.
+        """Set a session's state on a connection, then run requests on it.
 
-        :raises RetryableFailure: the session state could not be set; the connection is
-            closed.
+        The requests are sent once every set-up statement has succeeded. Sent together,
+        an upstream that refuses the set-up would still run them, with the state of
+        another session.
+
+        :raises RetryableFailure: the session state could not be set and none of the
+            requests was sent; the connection is closed.
         :raises ExchangeFailed: replies are missing; the connection is closed.
         """
+        deadline = self._clock() + work.timeout_s
         setup = pooled.make_setup_requests(work.values, work.prepared)
+        if setup:
+            await self._set_up(pooled, setup, work.timeout_s)
         sent_at = self._clock()
         try:
             replies = await exchange(
-                self.pool, pooled, [*setup, *work.requests], work.timeout_s
+                self.pool, pooled, work.requests, deadline - sent_at
             )
         except ExchangeFailed as failure:
             if failure.is_silent:
                 self.record_silence()
-            raise ExchangeFailed(
-                failure.cause, failure.replies[len(setup) :], str(failure)
-            ) from failure
+            raise
         self.record_duration(self._clock() - sent_at)
         for reply in replies:
             self.record_reply(reply)
-        self._check_setup(pooled, replies[: len(setup)])
-        answers = replies[len(setup) :]
-        _discard_unknown_prepared(pooled, work, answers)
-        return answers
+        _discard_unknown_prepared(pooled, work, replies)
+        return replies
 
-    def _check_setup(self, pooled: PooledConnection, replies: Sequence[Reply]) -> None:
-        """Close a connection on which a session's state could not be set."""
+    async def _set_up(
+        self, pooled: PooledConnection, setup: Sequence[Request], timeout_s: float
+    ) -> None:
+        """Set a session's state on a connection; close the connection if it fails."""
+        try:
+            replies = await exchange(self.pool, pooled, setup, timeout_s)
+        except ExchangeFailed as failure:
+            if failure.is_silent:
+                self.record_silence()
+            kind = find_error_kind(SentRequest.NOTHING, failure.cause)
+            raise RetryableFailure(kind, str(failure)) from failure
         for reply in replies:
-            if reply.error is not None:
-                self.pool.release(pooled, ReleaseState.BROKEN)
-                raise RetryableFailure(reply.error.kind, reply.error.text)
+            self.record_reply(reply)
+        errors = [reply.error for reply in replies if reply.error is not None]
+        if errors:
+            self.pool.release(pooled, ReleaseState.BROKEN)
+            text = f"the session state could not be set: {errors[0].text}"
+            raise RetryableFailure(ErrorKind.NOT_RUN, text)
 
     async def _validate(self, pooled: PooledConnection) -> None:
         """Run an empty transaction on a connection that has been idle for too long."""
--- a/celeryfold/proxy/peers.py
+++ b/celeryfold/proxy/peers.py
@@ -353,14 +353,27 @@
         last_seen_at = asked_at - reply.store_age_s
         self._store_seen_at = max(self._store_seen_at, last_seen_at)
         if reply.source is not None:
-            table = self._decode_table(reply.source)
-            self._routes.adopt(table, reply.source, f"peer {reply.sender.instance_id}")
+            self._apply_source(reply.source, reply.sender)
         if reply.listing is not None:
             self._directory.adopt(reply.listing, f"peer {reply.sender.instance_id}")
         for aged in reply.samples:
             sample = Sample(aged.upstream, aged.position, asked_at - aged.age_s)
             self._samples.add(aged.service, sample)
 
+    def _apply_source(self, source: bytes, sender: Peer) -> None:
+        """Adopt a configuration of a peer; one that cannot be decoded changes nothing.
+
+        The peer may run another version, which knows fields that this one does not.
+        """
+        try:
+            table = self._decode_table(source)
+        except CeleryfoldError as error:
+            extra = {"peer": sender.instance_id, "reason": str(error)}
+            log.error("unreadable configuration", extra=extra)
+            self._metrics.count("peer.unreadable_configuration")
+            return
+        self._routes.adopt(table, source, f"peer {sender.instance_id}")
+
     async def _answer(self, request: AskNews) -> News:
         self._peers.record_contact(request.requester)
         has_newer_table = self._routes.version > request.version
--- a/celeryfold/proxy/pool.py
+++ b/celeryfold/proxy/pool.py
@@ -272,6 +272,14 @@
             self._n_opening -= 1
             self._record_connect_failure(failure)
             return
+        except Exception as error:
+            self._n_opening -= 1
+            extra = {"upstream": self.upstream.upstream_id}
+            log.exception("connection attempt failed", extra=extra)
+            self._record_connect_failure(
+                ConnectFailed(ConnectFailure.UNREACHABLE, repr(error))
+            )
+            return
         except BaseException:
             self._n_opening -= 1
             raise
--- a/celeryfold/proxy/sampler.py
+++ b/celeryfold/proxy/sampler.py
@@ -61,6 +61,7 @@
 
     async def run(self) -> None:
         """Sample every service that has a route, until cancelled."""
+        self._running.clear()
         async with trio.open_nursery() as nursery:
             while True:
                 table = self._routes.table
--- a/celeryfold/standins/replica_session.py
+++ b/celeryfold/standins/replica_session.py
@@ -118,6 +118,9 @@
         statement = request.statement
         if request.since is not None and not self._database.has_applied(request.since):
             return self._refuse(ErrorKind.NOT_CAUGHT_UP, "the position is not applied")
+        if isinstance(statement, Reset | SetValue | Prepare):
+            if self._replicas.setup_errors:
+                return self._refuse(self._replicas.setup_errors.pop(0), "set-up failed")
         match statement:
             case Reset():
                 self._values = {}
--- a/celeryfold/standins/replicas.py
+++ b/celeryfold/standins/replicas.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from ..kernel.errors import ErrorKind
 from ..kernel.ids import (
     InstanceId,
     PlaceId,
@@ -60,6 +61,8 @@
         self.promotions: list[tuple[float, InstanceId, int, UpstreamId]] = []
         self.lost: list[Entry] = []
         self.n_answers_to_lose = 0
+        # Errors of the next statements that set up a session, one for each.
+        self.setup_errors: list[ErrorKind] = []
         self.n_promotions_to_lose = 0
         self.highest_token = 0
         self.databases: dict[UpstreamId, Database] = {}
--- a/celeryfold/wire/client.py
+++ b/celeryfold/wire/client.py
@@ -8,9 +8,11 @@
     "ResponseLost",
     "Unreachable",
     "is_address",
+    "is_ip_address",
     "split_address",
 ]
 
+import socket
 import ssl
 from collections.abc import Callable, Sequence
 
@@ -22,6 +24,7 @@
 
 READ_CHUNK_BYTES = 65_536
 CONNECT_TIMEOUT_S = 2.0
+MAX_PORT = 65_535
 MAX_IDLE_CHANNELS = 8
 IDLE_CHANNEL_TIMEOUT_S = 20.0
 
@@ -46,7 +49,18 @@
 def is_address(text: str) -> bool:
     """Return whether a text is an address that :func:`split_address` accepts."""
     host, _, port = text.rpartition(":")
-    return bool(host) and port.isdigit()
+    is_number = port.isascii() and port.isdigit()
+    return bool(host) and is_number and 0 < int(port) <= MAX_PORT
+
+
+def is_ip_address(text: str) -> bool:
+    """Return whether a text is an IPv4 address with a port."""
+    host, _, _ = text.rpartition(":")
+    try:
+        socket.inet_pton(socket.AF_INET, host)
+    except (OSError, ValueError):
+        return False
+    return is_address(text)
 
 
 class HttpChannel:
