Compute homes after changes only, and wake samplers and guardians when due

Cause: on the large deployment each instance ranked 195 members for 30 upstreams, twice, each half second; samplers polled at 67 wake-ups a second for 10 services, guardians at 40.

Change: a placement cache that is emptied when members change; only the members of the nearest data centres are ranked; a sampler sleeps until its next sample is due or a primary denies its role; the guardians of an instance that does not watch the store step once a second, and at once when the watch connects.

--- a/celeryfold/proxy/executor_registry.py
+++ b/celeryfold/proxy/executor_registry.py
@@ -19,7 +19,7 @@
 from .local_executor import LocalExecutor
 from .messages import Peer
 from .peers import PeerTable
-from .placement import choose_homes, divide_connections
+from .placement import PlacementCache, divide_connections
 from .pool import Pool
 from .routes import Routes
 from .upstream import Connector, Upstream
@@ -61,6 +61,8 @@
         self._executors: dict[UpstreamId, Executor] = {}
         self._fallbacks: dict[UpstreamId, RemoteExecutor] = {}
         self._homes: dict[UpstreamId, list[Peer]] = {}
+        self._placement = PlacementCache(peers.regions)
+        self._sharing = PlacementCache(peers.regions)
         self._nursery: trio.Nursery | None = None
         directory.subscribe(self.update)
 
@@ -102,16 +104,21 @@
             if upstream_id not in listed:
                 self._close(upstream_id)
         members = [self._peers.local_peer, *self._peers.list_alive()]
+        self._placement.set_members(members)
+        self._sharing.set_members(
+            [self._peers.local_peer, *self._peers.list_connection_holders()]
+        )
+        current = set(listed.values())
+        self._placement.forget(current)
+        self._sharing.forget(current)
         for upstream in listed.values():
-            self._update_one(upstream, members)
+            self._update_one(upstream, len(members))
 
-    def _update_one(self, upstream: Upstream, members: list[Peer]) -> None:
+    def _update_one(self, upstream: Upstream, n_members: int) -> None:
         n_connections = self._find_n_connections(upstream)
-        regions = self._peers.regions
-        homes = choose_homes(upstream, members, regions, n_connections)
+        homes = self._placement.find_homes(upstream, n_connections)
         self._homes[upstream.upstream_id] = homes
-        sharing = [self._peers.local_peer, *self._peers.list_connection_holders()]
-        sharing_homes = choose_homes(upstream, sharing, regions, n_connections)
+        sharing_homes = self._sharing.find_homes(upstream, n_connections)
         me = self._peers.local_peer.instance_id
         is_home = any(home.instance_id == me for home in homes)
         executor = self._executors.get(upstream.upstream_id)
@@ -127,7 +134,7 @@
         if isinstance(executor, LocalExecutor):
             executor.pool.upstream = upstream
             executor.pool.limit = self._find_limit(n_connections, sharing_homes)
-            is_shared = len(homes) < len(members)
+            is_shared = len(homes) < n_members
             n_admitted = divide_slots(upstream.n_slots, len(homes))
             executor.limiter.limit = n_admitted if is_shared else UNLIMITED
             executor.pool.trim()
--- a/celeryfold/proxy/guardian.py
+++ b/celeryfold/proxy/guardian.py
@@ -32,6 +32,7 @@
 log = logging.getLogger(__name__)
 
 STEP_INTERVAL_S = 0.25
+IDLE_STEP_INTERVAL_S = 1.0
 # The primary is suspected if its newest sample is older than this: two missed samples
 # and a round trip between regions.
 PRIMARY_TIMEOUT_S = 0.9
@@ -116,7 +117,7 @@
     async def run(self) -> None:
         """Run until cancelled; a failed step is logged and repeated."""
         while True:
-            await trio.sleep(STEP_INTERVAL_S)
+            await self._wait_for_step()
             try:
                 await self._step()
             except CeleryfoldError as error:
@@ -124,6 +125,17 @@
                 log.warning("guardian step failed", extra=extra)
                 await trio.sleep(STEP_RETRY_S)
 
+    async def _wait_for_step(self) -> None:
+        """Wait until the next step is due.
+
+        An instance that does not watch the store cannot take the duty; it only tracks
+        the upstreams, which the directory keeps for longer than the idle interval.
+        """
+        if not self._duty.is_held:
+            with trio.move_on_after(IDLE_STEP_INTERVAL_S - STEP_INTERVAL_S):
+                await self._ports.watcher.wait_until_connected()
+        await trio.sleep(STEP_INTERVAL_S)
+
     async def _step(self) -> None:
         self._refresh()
         if not self._duty.is_held:
--- a/celeryfold/proxy/placement.py
+++ b/celeryfold/proxy/placement.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
-__all__ = ["N_RESERVED_CONNECTIONS", "choose_homes", "divide_connections"]
+__all__ = [
+    "N_RESERVED_CONNECTIONS",
+    "PlacementCache",
+    "choose_homes",
+    "divide_connections",
+]
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 from ..kernel.ids import PlaceId, RegionId
 from ..kernel.rendezvous import compute_weight
@@ -46,15 +51,64 @@
     exceeds_slots = len(members) > N_MAX_INSTANCES_PER_SLOT * n_slots
     if n_shared >= N_MIN_DIRECT_CONNECTIONS * len(members) and not exceeds_slots:
         return members
+    n_homes = max(min(n_shared // N_CONNECTIONS_PER_HOME, n_slots), 1)
     region = regions.get(upstream.place)
 
-    def rank(peer: Peer) -> tuple[bool, bool, int]:
-        is_far = regions.get(peer.place) != region
-        weight = compute_weight(upstream.upstream_id, peer.instance_id)
-        return peer.place != upstream.place, is_far, -weight
+    def find_distance(peer: Peer) -> int:
+        if peer.place == upstream.place:
+            return 0
+        return 1 if regions.get(peer.place) == region else 2
 
-    n_homes = max(min(n_shared // N_CONNECTIONS_PER_HOME, n_slots), 1)
-    return sorted(members, key=rank)[:n_homes]
+    def weigh(peer: Peer) -> int:
+        return compute_weight(upstream.upstream_id, peer.instance_id)
+
+    groups: tuple[list[Peer], ...] = ([], [], [])
+    for peer in members:
+        groups[find_distance(peer)].append(peer)
+    homes: list[Peer] = []
+    for group in groups:
+        if len(homes) < n_homes:
+            nearest = sorted(group, key=weigh, reverse=True)
+            homes += nearest[: n_homes - len(homes)]
+    return homes
+
+
+class PlacementCache:
+    """The homes of each upstream, computed again only after a change of members.
+
+    Without it, each instance ranks all members for each upstream at every update, and
+    the cost of an idle instance grows with the fleet.
+
+    :param regions: the region of each data centre.
+    """
+
+    def __init__(self, regions: Mapping[PlaceId, RegionId]) -> None:
+        self._regions = regions
+        self._members: list[Peer] = []
+        self._homes: dict[tuple[Upstream, int], list[Peer]] = {}
+        self.n_computed = 0
+
+    def set_members(self, members: list[Peer]) -> None:
+        """Set the instances among which homes are chosen."""
+        if members != self._members:
+            self._members = members
+            self._homes.clear()
+
+    def find_homes(self, upstream: Upstream, n_connections: int) -> list[Peer]:
+        """Return the homes of an upstream; see :func:`choose_homes`."""
+        key = (upstream, n_connections)
+        homes = self._homes.get(key)
+        if homes is None:
+            self.n_computed += 1
+            homes = choose_homes(upstream, self._members, self._regions, n_connections)
+            self._homes[key] = homes
+        return homes
+
+    def forget(self, upstreams: Collection[Upstream]) -> None:
+        """Drop the homes of all upstreams but these."""
+        stale = [key for key in self._homes if key[0] not in upstreams]
+        for key in stale:
+            del self._homes[key]
 
 
 def divide_connections(n_connections: int, n_homes: int, rank: int) -> int:
--- a/celeryfold/proxy/sampler.py
+++ b/celeryfold/proxy/sampler.py
@@ -76,10 +76,13 @@
             leader = self._samples.find_leader(service)
             if leader is None or self._find_due_s(service) <= 0:
                 await self.sample(service)
-            due_s = max(self._find_due_s(service), 0.0)
-            await trio.sleep(
-                due_s if 0 < due_s < SEARCH_INTERVAL_S else SEARCH_INTERVAL_S
-            )
+            due_s = self._find_due_s(service)
+            if due_s <= 0 or self._samples.find_leader(service) is None:
+                await trio.sleep(SEARCH_INTERVAL_S)
+                continue
+            # Samples that arrive meanwhile only move the next one back.
+            with trio.move_on_after(due_s):
+                await self._samples.wait_denied(service)
         self._running.discard(service)
 
     def _is_routed(self, service: ServiceId) -> bool:
--- a/celeryfold/proxy/samples.py
+++ b/celeryfold/proxy/samples.py
@@ -50,6 +50,7 @@
         self.highest: LogPosition | None = None
         self.denied_at: dict[UpstreamId, float] = {}
         self.changed = trio.Event()
+        self.denied = trio.Event()
 
 
 class SampleHistory:
@@ -94,7 +95,10 @@
 
     def record_not_leader(self, service: ServiceId, upstream: UpstreamId) -> None:
         """Record that an upstream has just denied leadership."""
-        self._services[service].denied_at[upstream] = self._clock()
+        history = self._services[service]
+        history.denied_at[upstream] = self._clock()
+        history.denied.set()
+        history.denied = trio.Event()
 
     def has_denied_leadership(self, upstream: Upstream) -> bool:
         """Return whether an upstream denied leadership and has not been sampled since.
@@ -156,6 +160,10 @@
         while history.samples and history.samples[0].taken_at < oldest:
             history.samples.popleft()
 
+    async def wait_denied(self, service: ServiceId) -> None:
+        """Wait until an upstream of a service denies leadership."""
+        await self._services[service].denied.wait()
+
     async def wait_newer(self, service: ServiceId) -> None:
         """Wait until a newer sample of a service is added."""
         await self._services[service].changed.wait()
--- a/celeryfold/proxy/watcher.py
+++ b/celeryfold/proxy/watcher.py
@@ -98,6 +98,7 @@
         self._listed_at = 0.0
         self._table_read_at = 0.0
         self.is_connected = False
+        self._connected = trio.Event()
         # Counts the gaps in the watch. An upstream that started and ended within a gap
         # was not seen.
         self.n_watch_gaps = 0
@@ -220,6 +221,11 @@
             return
         self._routes.adopt(table, item.value, "store")
 
+    async def wait_until_connected(self) -> None:
+        """Wait until the store has answered the watch; at once if it has."""
+        if not self.is_connected:
+            await self._connected.wait()
+
     def _mark_disconnected(self, reason: str) -> None:
         if self.is_connected:
             log.warning("store lost", extra={"reason": reason, "as_of": self._as_of})
@@ -231,4 +237,6 @@
             self.n_watch_gaps += 1
             log.info("store reached", extra={"as_of": self._as_of})
         self.is_connected = True
+        self._connected.set()
+        self._connected = trio.Event()
         self._report_reachable(True)
