Load fewer modules at the start of a proxy process

Cause: an instance that starts imports 491 modules, among them the exports of metrics, the authentication of links with asyncio, and the drivers of the own interface, while its clients wait. The collector of garbage ran over them meanwhile.

--- a/celeryfold/__main__.py
+++ b/celeryfold/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import signal
 import sys
 from pathlib import Path
@@ -66,6 +67,8 @@
     # A SIGHUP that arrives while modules load would end the process. Ignoring it loses
     # nothing: the settings are read later, and changes are also found without a signal.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    # Modules are not garbage; the command turns the collector on once it serves.
+    gc.disable()
     from .commands import proxy as command
 
     command.run(settings)
--- a/celeryfold/drivers/store.py
+++ b/celeryfold/drivers/store.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from ..exceptions import CeleryfoldError
+from ..exceptions import StoreConflict, StoreUnavailable
 
 
 class StoreEntry(msgspec.Struct, frozen=True):
@@ -19,14 +19,6 @@
     value: bytes
 
 
-class StoreUnavailable(CeleryfoldError):
-    """The store gave no valid response; a change may still have taken effect."""
-
-
-class StoreConflict(CeleryfoldError):
-    """The key was not at the expected revision; nothing was changed."""
-
-
 class Store(ABC):
     """Key-value store of the deployment; each call counts against its rate limits."""
 
--- a/celeryfold/exceptions.py
+++ b/celeryfold/exceptions.py
@@ -2,7 +2,13 @@
 
 from __future__ import annotations
 
-__all__ = ["BadInput", "CeleryfoldError", "RequestFailure"]
+__all__ = [
+    "BadInput",
+    "CeleryfoldError",
+    "RequestFailure",
+    "StoreConflict",
+    "StoreUnavailable",
+]
 
 from .kernel.errors import ErrorKind
 
@@ -15,6 +21,14 @@
     """Invalid input from a user; the message names the file, the field and the fix."""
 
 
+class StoreUnavailable(CeleryfoldError):
+    """The store gave no valid response; a change may still have taken effect."""
+
+
+class StoreConflict(CeleryfoldError):
+    """The key was not at the expected revision; nothing was changed."""
+
+
 class RequestFailure(CeleryfoldError):
     """A request failed with an error that is reported to the client.
 
--- a/celeryfold/kernel/metrics.py
+++ b/celeryfold/kernel/metrics.py
@@ -7,11 +7,12 @@
 import re
 from collections import Counter
 from collections.abc import Iterator
+from typing import TYPE_CHECKING
 
-from prometheus_client import CollectorRegistry, Histogram, generate_latest
-from prometheus_client.core import CounterMetricFamily
-from prometheus_client.registry import Collector
-from statsd import StatsClient
+if TYPE_CHECKING:
+    from prometheus_client import CollectorRegistry, Histogram
+    from prometheus_client.core import CounterMetricFamily
+    from statsd import StatsClient
 
 # From a statement that is answered at once to one that reaches a long timeout.
 DURATION_BUCKETS_S = (
@@ -19,20 +20,25 @@
     *(0.2, 0.4, 0.8, 1.5, 3.0, 8.0),
 )
 METRIC_PREFIX = "celeryfold"
+# Durations that are kept before the histograms are created. Their library takes up a
+# tenth of the processor time of a start, so it is loaded once the process serves.
+N_PENDING_DURATIONS = 1000
 
 
-class Metrics(Collector):
+class Metrics:
     """The metrics of one process.
 
+    The export libraries are imported on first use, since they slow down the start.
+
     :param statsd: the statsd client that also receives them; None for no statsd.
     """
 
     def __init__(self, statsd: StatsClient | None = None) -> None:
         self._statsd = statsd
         self.counters: Counter[str] = Counter()
-        self._registry = CollectorRegistry()
-        self._registry.register(self)
+        self._registry: CollectorRegistry | None = None
         self._histograms: dict[str, Histogram] = {}
+        self._pending_durations: list[tuple[str, float]] = []
 
     @classmethod
     def connect(cls, host: str, port: int, prefix: str) -> Metrics:
@@ -40,6 +46,8 @@
 
         :param prefix: stands before each metric name in statsd.
         """
+        from statsd import StatsClient
+
         return cls(StatsClient(host=host, port=port, prefix=prefix))
 
     def count(self, name: str, n: int = 1) -> None:
@@ -50,20 +58,41 @@
 
     def time(self, name: str, seconds: float) -> None:
         """Record one duration in seconds."""
-        histogram = self._histograms.get(name)
-        if histogram is None:
-            histogram = self._histograms[name] = Histogram(
-                f"{_make_metric_name(name)}_seconds",
-                f"Durations of {name}",
-                buckets=DURATION_BUCKETS_S,
-                registry=self._registry,
-            )
-        histogram.observe(seconds)
+        self._pending_durations.append((name, seconds))
+        if len(self._pending_durations) >= N_PENDING_DURATIONS:
+            self._observe_pending(self._load_registry())
         if self._statsd is not None:
             self._statsd.timing(name, seconds * 1000.0)
 
+    def _load_registry(self) -> CollectorRegistry:
+        """Return the registry; the first call imports its library."""
+        if self._registry is None:
+            from prometheus_client import CollectorRegistry
+
+            self._registry = CollectorRegistry()
+            self._registry.register(self)
+        return self._registry
+
+    def _observe_pending(self, registry: CollectorRegistry) -> None:
+        """Add the durations recorded since the last call to their histograms."""
+        from prometheus_client import Histogram
+
+        for name, seconds in self._pending_durations:
+            histogram = self._histograms.get(name)
+            if histogram is None:
+                histogram = self._histograms[name] = Histogram(
+                    f"{_make_metric_name(name)}_seconds",
+                    f"Durations of {name}",
+                    buckets=DURATION_BUCKETS_S,
+                    registry=registry,
+                )
+            histogram.observe(seconds)
+        self._pending_durations.clear()
+
     def collect(self) -> Iterator[CounterMetricFamily]:
         """Yield all counters as Prometheus metric families."""
+        from prometheus_client.core import CounterMetricFamily
+
         for name, value in sorted(self.counters.items()):
             yield CounterMetricFamily(
                 _make_metric_name(name), f"Count of {name}", value
@@ -71,7 +100,11 @@
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
-        return generate_latest(self._registry)
+        from prometheus_client import generate_latest
+
+        registry = self._load_registry()
+        self._observe_pending(registry)
+        return generate_latest(registry)
 
 
 def _make_metric_name(name: str) -> str:
--- a/celeryfold/links/zmq_link.py
+++ b/celeryfold/links/zmq_link.py
@@ -7,12 +7,11 @@
 import itertools
 import logging
 from dataclasses import dataclass
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 import trio
 import zmq
-import zmq.auth.thread
 
 from ..exceptions import BadInput, RequestFailure
 from ..kernel.errors import ErrorKind
@@ -21,6 +20,9 @@
 from .codec import Envelope, FailureReply, MessageCodec
 from .link import PeerLink, PeerUnreachable
 
+if TYPE_CHECKING:
+    from zmq.auth.thread import ThreadAuthenticator
+
 log = logging.getLogger(__name__)
 
 MAX_MESSAGE_BYTES = 4_000_000
@@ -89,7 +91,7 @@
         self._request_numbers = itertools.count(1)
         self._nursery: trio.Nursery | None = None
         self._closed = trio.Event()
-        self._authenticator: zmq.auth.thread.ThreadAuthenticator | None = None
+        self._authenticator: ThreadAuthenticator | None = None
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Bind the port and serve until the link is closed.
@@ -122,7 +124,10 @@
             self._closed.set()
 
     def _start_authenticator(self, keys: PeerKeys) -> None:
-        self._authenticator = zmq.auth.thread.ThreadAuthenticator(self._context)
+        # Imported here because it loads asyncio, which takes a while at the start.
+        from zmq.auth.thread import ThreadAuthenticator
+
+        self._authenticator = ThreadAuthenticator(self._context)
         self._authenticator.start()
         self._authenticator.configure_curve_callback(
             "*", credentials_provider=_SingleKeyProvider(keys.public)
--- a/celeryfold/proxy/store.py
+++ b/celeryfold/proxy/store.py
@@ -23,8 +23,7 @@
 
 import msgspec
 
-from ..drivers.store import StoreConflict, StoreUnavailable
-from ..exceptions import CeleryfoldError
+from ..exceptions import CeleryfoldError, StoreConflict, StoreUnavailable
 from ..kernel.ids import LeaseId
 
 
