Count the wait for a connection as part of a statement's time

Cause: a statement that queued for a connection still got its whole time-out afterwards, so that it could be held past its route's time-out, and a write could be sent near the end of its time, with an unknown outcome. Change: the wait takes from the time left to run, at most half of it.

--- a/celeryfold/proxy/executors.py
+++ b/celeryfold/proxy/executors.py
@@ -40,7 +40,7 @@
     :param prepared: the prepared statement of a request, prepared before they run.
     :param priority: the lowest number is served first when connections are scarce.
     :param wait_s: how long to wait for a connection, in seconds.
-    :param timeout_s: how long all replies may take, in seconds.
+    :param timeout_s: how long the wait and all replies may take together, in seconds.
     :param validates_connection: whether an idle connection is validated before use;
         the outcome of a write that is sent on a dead connection is unknown.
     :param keeps_connection: whether the connection is returned pinned if a transaction
--- a/celeryfold/proxy/home.py
+++ b/celeryfold/proxy/home.py
@@ -230,7 +230,7 @@
 
     async def _run_at(self, home: Peer, message: RunAtHome) -> WorkResult:
         work = message.work
-        reply = await self.send(home, message, work.wait_s + work.timeout_s)
+        reply = await self.send(home, message, work.timeout_s)
         pinned = None
         if reply.transaction:
             pinned = _RemotePinnedConnection(self, home, reply.transaction)
--- a/celeryfold/proxy/local_executor.py
+++ b/celeryfold/proxy/local_executor.py
@@ -6,6 +6,8 @@
 
 from collections.abc import Sequence
 
+import msgspec
+
 from ..exceptions import RequestFailure
 from ..kernel.errors import ErrorKind
 from .admission import AdmissionLimiter
@@ -57,24 +59,27 @@
 
     async def run(self, work: Work) -> WorkResult:
         """Run requests in order on one connection, after admission."""
+        deadline = self._clock() + work.timeout_s
         if not await self.limiter.acquire(work.priority, work.wait_s):
             text = f"no slot of {self.upstream.upstream_id} became available"
             raise RetryableFailure(
                 ErrorKind.OVERLOADED, f"{text} within {work.wait_s:.2f} s"
             )
         try:
-            return await self._run_admitted(work)
+            return await self._run_admitted(work, deadline)
         finally:
             self.limiter.release()
 
-    async def _run_admitted(self, work: Work) -> WorkResult:
+    async def _run_admitted(self, work: Work, deadline: float) -> WorkResult:
+        """Run requests on a connection; the time spent waiting counts as well."""
         try:
             pooled = await self.pool.acquire(work.values, work.priority, work.wait_s)
         except RequestFailure as failure:
             raise RetryableFailure(failure.kind, failure.message) from failure
         if work.validates_connection:
             await self._validate(pooled)
-        replies = await self.exchange(pooled, work)
+        left = msgspec.structs.replace(work, timeout_s=deadline - self._clock())
+        replies = await self.exchange(pooled, left)
         return WorkResult(replies, self._release_or_pin(pooled, work, replies))
 
     def _release_or_pin(
--- a/celeryfold/proxy/runner.py
+++ b/celeryfold/proxy/runner.py
@@ -29,6 +29,9 @@
 # A call that gets no connection within this share of its target time is refused, early
 # enough for the client to retry.
 QUEUE_WAIT_SHARE = 0.25
+# Share of the time of an attempt that it may wait for a connection. A write sent near
+# the end of its time ends with an unknown outcome; refused, it can be repeated.
+QUEUE_TIME_SHARE = 0.5
 # A call that has waited for a failover still gets this long to wait for a connection.
 MIN_WAIT_S = 0.1
 # Duration of a failover, counted from the last contact with the old primary: one second
@@ -73,20 +76,22 @@
         """Return how long a call may still wait for a connection, in seconds."""
         waited_s = self.clock() - call.arrived_at
         wait_s = call.route.target_s * QUEUE_WAIT_SHARE - waited_s
-        return min(max(wait_s, MIN_WAIT_S), max(remaining_s(call, self.clock), 0.0))
+        return max(wait_s, MIN_WAIT_S)
 
     def make_work(self, call: Call, *requests: Request, share: float = 1.0) -> Work:
         """Return the work that runs requests for a call.
 
-        :param share: share of the call's remaining time that the work may take.
+        :param share: share of the call's remaining time that the work may take, the
+            wait for a connection included.
         """
+        left_s = max(remaining_s(call, self.clock), 0.0) * share
         return Work(
             requests=requests,
             values=call.values,
             prepared=call.prepared,
             priority=call.route.priority,
-            wait_s=self.find_wait_s(call),
-            timeout_s=max(remaining_s(call, self.clock), 0.0) * share,
+            wait_s=min(self.find_wait_s(call), left_s * QUEUE_TIME_SHARE),
+            timeout_s=left_s,
         )
 
     async def run_work(self, executor: Executor, work: Work) -> WorkResult:
