Leave connections for homes that replace others, and give them up at a stop

Cause: upstreams refuse connections over their limit, whoever opens them. A home that replaced a lost one took a full share beside it; a small part of the fleet that was cut off connected directly, each instance with a full share; a home that stopped kept its connections until its end. Also, a guardian opened its control connections, up to 0.6 s each, before it looked at an overdue primary.

Change: a quarter of an upstream's connections is left for substitutes, homes that are not chosen among all instances that may still hold connections; a cut-off part uses as many homes as the whole fleet; an instance that stops closes its pools at once and runs its last statements through others; the primary is checked first.

--- a/celeryfold/proxy/executor_registry.py
+++ b/celeryfold/proxy/executor_registry.py
@@ -19,7 +19,7 @@
 from .local_executor import LocalExecutor
 from .messages import Peer
 from .peers import PeerTable
-from .placement import PlacementCache, divide_connections
+from .placement import PlacementCache, divide_among_homes, divide_connections
 from .pool import Pool
 from .routes import Routes
 from .upstream import Connector, Upstream
@@ -103,18 +103,27 @@
         for upstream_id in list(self._executors):
             if upstream_id not in listed:
                 self._close(upstream_id)
-        members = [self._peers.local_peer, *self._peers.list_alive()]
-        self._placement.set_members(members)
-        self._sharing.set_members(
-            [self._peers.local_peer, *self._peers.list_connection_holders()]
-        )
+        members = self._list_members()
+        holders = [self._peers.local_peer, *self._peers.list_connection_holders()]
+        self._placement.set_members(members, len(holders))
+        self._sharing.set_members(holders)
         current = set(listed.values())
         self._placement.forget(current)
         self._sharing.forget(current)
         for upstream in listed.values():
-            self._update_one(upstream, len(members))
+            self._update_one(upstream, len(holders))
+
+    def _list_members(self) -> list[Peer]:
+        """Return the instances that may be homes.
+
+        An instance that stops gives up its connections at once, so that those which
+        replace it as a home do not exceed the limit of the upstream.
+        """
+        me = self._peers.local_peer
+        others = self._peers.list_alive()
+        return others if me.is_leaving and others else [me, *others]
 
-    def _update_one(self, upstream: Upstream, n_members: int) -> None:
+    def _update_one(self, upstream: Upstream, n_holders: int) -> None:
         n_connections = self._find_n_connections(upstream)
         homes = self._placement.find_homes(upstream, n_connections)
         self._homes[upstream.upstream_id] = homes
@@ -133,21 +142,32 @@
         executor.upstream = upstream
         if isinstance(executor, LocalExecutor):
             executor.pool.upstream = upstream
-            executor.pool.limit = self._find_limit(n_connections, sharing_homes)
-            is_shared = len(homes) < n_members
+            is_shared = len(sharing_homes) < n_holders
+            executor.pool.limit = self._find_limit(
+                n_connections, sharing_homes, is_shared
+            )
             n_admitted = divide_slots(upstream.n_slots, len(homes))
             executor.limiter.limit = n_admitted if is_shared else UNLIMITED
             executor.pool.trim()
             if executor.is_unreachable:
                 executor.pool.probe()
 
-    def _find_limit(self, n_connections: int, homes: list[Peer]) -> int:
-        """Return how many connections this instance may open as one of the homes."""
+    def _find_limit(
+        self, n_connections: int, homes: list[Peer], is_shared: bool
+    ) -> int:
+        """Return how many connections this instance may open as one of the homes.
+
+        :param homes: the homes, as chosen among the instances that may still hold
+            connections.
+        :param is_shared: whether other instances use the connections, too.
+        """
         is_new = self._clock() - self._started_at < PEER_DISCOVERY_S
         if is_new and len(homes) == 1 and self._peers.has_seeds():
             return STARTUP_CONNECTION_LIMIT
         names = sorted(home.instance_id for home in homes)
         me = self._peers.local_peer.instance_id
+        if is_shared:
+            return divide_among_homes(n_connections, len(names), me not in names)
         rank = names.index(me) if me in names else len(names)
         return divide_connections(n_connections, len(names), rank)
 
--- a/celeryfold/proxy/guardian.py
+++ b/celeryfold/proxy/guardian.py
@@ -149,7 +149,6 @@
         attempt_by = self._ports.me if is_attempt_open else ""
         revision = self._ports.directory.listing.revision
         await self._record.update(self._ack_set.members, attempt_by, revision)
-        await self._controls.open_all()
         newest = self._ports.samples.newest(self.service)
         if newest is None:
             if self._clock() - self._started_at > FIRST_PRIMARY_TIMEOUT_S:
@@ -159,6 +158,9 @@
         if age_s > PRIMARY_TIMEOUT_S or await self._is_primary_refusing(newest):
             await self._verify_and_fail_over(newest)
             return
+        # After the check of the primary, since an upstream that does not answer takes
+        # up the whole time-out of a connection attempt.
+        await self._controls.open_all()
         await self._controls.resume_all()
         await self._drop_covered_members(newest)
         leader = self._ports.directory.find(newest.upstream)
--- a/celeryfold/proxy/instance.py
+++ b/celeryfold/proxy/instance.py
@@ -185,6 +185,7 @@
             self.peers.local_peer, is_leaving=True
         )
         self._guardian_scope.cancel()
+        self.executors.update()
         end_at = trio.current_time() + self.settings.grace_s - EXIT_MARGIN_S
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.lease_manager.end)
--- a/celeryfold/proxy/placement.py
+++ b/celeryfold/proxy/placement.py
@@ -6,6 +6,7 @@
     "N_RESERVED_CONNECTIONS",
     "PlacementCache",
     "choose_homes",
+    "divide_among_homes",
     "divide_connections",
 ]
 
@@ -24,6 +25,8 @@
 N_MIN_DIRECT_CONNECTIONS = 2
 # Enough for a home to serve pinned transactions and short statements concurrently.
 N_CONNECTIONS_PER_HOME = 8
+# One part in this many of an upstream's connections is left for substitutes of homes.
+SUBSTITUTES_PART = 4
 # With more instances for each slot, their statements compete at the upstream, which
 # refuses statements that find no free slot; homes queue them instead.
 N_MAX_INSTANCES_PER_SLOT = 4
@@ -34,6 +37,7 @@
     peers: Iterable[Peer],
     regions: Mapping[PlaceId, RegionId],
     n_connections: int,
+    n_holders: int = 0,
 ) -> list[Peer]:
     """Return the instances that connect to an upstream directly.
 
@@ -44,12 +48,15 @@
     :param peers: all instances that are alive, this one included.
     :param regions: the region of each data centre.
     :param n_connections: the connections that the upstream allows in total.
+    :param n_holders: how many instances may hold connections, lost ones included. A
+        small part of a large fleet that is cut off still uses a few homes.
     """
     members = sorted(peers, key=lambda peer: peer.instance_id)
     n_slots = max(upstream.n_slots, 1)
     n_shared = max(n_connections - N_RESERVED_CONNECTIONS, 1)
-    exceeds_slots = len(members) > N_MAX_INSTANCES_PER_SLOT * n_slots
-    if n_shared >= N_MIN_DIRECT_CONNECTIONS * len(members) and not exceeds_slots:
+    n_sharing = max(len(members), n_holders)
+    exceeds_slots = n_sharing > N_MAX_INSTANCES_PER_SLOT * n_slots
+    if n_shared >= N_MIN_DIRECT_CONNECTIONS * n_sharing and not exceeds_slots:
         return members
     n_homes = max(min(n_shared // N_CONNECTIONS_PER_HOME, n_slots), 1)
     region = regions.get(upstream.place)
@@ -85,13 +92,18 @@
     def __init__(self, regions: Mapping[PlaceId, RegionId]) -> None:
         self._regions = regions
         self._members: list[Peer] = []
+        self._n_holders = 0
         self._homes: dict[tuple[Upstream, int], list[Peer]] = {}
         self.n_computed = 0
 
-    def set_members(self, members: list[Peer]) -> None:
-        """Set the instances among which homes are chosen."""
-        if members != self._members:
+    def set_members(self, members: list[Peer], n_holders: int = 0) -> None:
+        """Set the instances among which homes are chosen.
+
+        :param n_holders: how many instances may hold connections.
+        """
+        if members != self._members or n_holders != self._n_holders:
             self._members = members
+            self._n_holders = n_holders
             self._homes.clear()
 
     def find_homes(self, upstream: Upstream, n_connections: int) -> list[Peer]:
@@ -100,7 +112,13 @@
         homes = self._homes.get(key)
         if homes is None:
             self.n_computed += 1
-            homes = choose_homes(upstream, self._members, self._regions, n_connections)
+            homes = choose_homes(
+                upstream,
+                self._members,
+                self._regions,
+                n_connections,
+                self._n_holders,
+            )
             self._homes[key] = homes
         return homes
 
@@ -111,6 +129,21 @@
             del self._homes[key]
 
 
+def divide_among_homes(n_connections: int, n_homes: int, is_substitute: bool) -> int:
+    """Return how many connections one of a few homes may hold.
+
+    A part is left for substitutes: instances that became homes because others were
+    lost, which may still hold their connections.
+
+    :param n_homes: the homes, the lost ones included and the substitutes not.
+    :param is_substitute: whether the home is a substitute.
+    """
+    n_shared = max(n_connections - N_RESERVED_CONNECTIONS, 1)
+    n_for_substitutes = n_shared // SUBSTITUTES_PART
+    n_left = n_for_substitutes if is_substitute else n_shared - n_for_substitutes
+    return max(n_left // max(n_homes, 1), 1)
+
+
 def divide_connections(n_connections: int, n_homes: int, rank: int) -> int:
     """Return how many connections to an upstream one home may hold.
 
--- a/celeryfold/proxy/tests/test_time_budget.py
+++ b/celeryfold/proxy/tests/test_time_budget.py
@@ -1,8 +1,8 @@
 """Calls that queue for a connection keep to the time-out of their route.
 
-The pattern is a deadline that is passed on: time spent in a queue is taken from the time
-that is left to run. No call is held past its time, and a write that could only be sent
-near its end is refused instead, which its client can repeat.
+The pattern is a deadline that is passed on: time spent in a queue is taken from the
+time that is left to run. No call is held past its time, and a write that could only be
+sent near its end is refused instead, which its client can repeat.
 """
 
 from __future__ import annotations
