--- a/celeryfold/commands/proxy.py
+++ b/celeryfold/commands/proxy.py
@@ -5,7 +5,6 @@
 __all__ = ["run"]
 
 import logging
-import os
 import signal
 from pathlib import Path
 
@@ -21,7 +20,11 @@
 from ..platform.entries import PlatformEntryDecoder
 from ..platform.monitoring import MonitoringHandler
 from ..platform.promotions import HttpPromotions
-from ..platform.settings import PlatformSettings, load_platform_settings
+from ..platform.settings import (
+    PlatformSettings,
+    find_settings_path,
+    load_platform_settings,
+)
 from ..platform.store import HttpCoordinationStore
 from ..proxy.clock import read_boot_clock
 from ..proxy.codec import PEER_CODEC
@@ -31,28 +34,19 @@
 
 log = logging.getLogger(__name__)
 
-SETTINGS_VARIABLE = "CELERYFOLD_BOOT"
-
 
 def run(settings_path: Path | None) -> None:
     """Run an instance until SIGTERM.
 
-    :param settings_path: None takes the path from the variable ``CELERYFOLD_BOOT``.
+    :param settings_path: None takes the path that the platform sets in the environment.
     :raises BadInput: if the settings are missing or invalid.
     """
-    path = settings_path or _find_settings()
+    path = settings_path or find_settings_path()
     settings = load_platform_settings(path)
     configure_stdout_logging("INFO", settings.instance)
     trio.run(_run, settings, path)
 
 
-def _find_settings() -> Path:
-    text = os.environ.get(SETTINGS_VARIABLE)
-    if not text:
-        raise BadInput(f"{SETTINGS_VARIABLE} is not set; set it or give --settings")
-    return Path(text)
-
-
 def make_instance(settings: PlatformSettings, metrics: Metrics) -> ProxyInstance:
     """Return an instance with the drivers of the platform."""
     platform = Platform(
--- a/celeryfold/platform/settings.py
+++ b/celeryfold/platform/settings.py
@@ -2,8 +2,14 @@
 
 from __future__ import annotations
 
-__all__ = ["PlatformSettings", "load_platform_settings"]
-
+__all__ = [
+    "SETTINGS_VARIABLE",
+    "PlatformSettings",
+    "find_settings_path",
+    "load_platform_settings",
+]
+
+import os
 from pathlib import Path
 
 import msgspec
@@ -15,6 +21,8 @@
 
 # Metrics port declared in deploy/system.toml.
 METRICS_PORT = 9464
+# Environment variable in which the platform passes the path of the settings file.
+SETTINGS_VARIABLE = "CELERYFOLD_BOOT"
 
 
 class PlatformSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -59,6 +67,17 @@
         )
 
 
+def find_settings_path() -> Path:
+    """Return the path of the settings file from the environment.
+
+    :raises BadInput: if the platform's variable is not set.
+    """
+    text = os.environ.get(SETTINGS_VARIABLE)
+    if not text:
+        raise BadInput(f"{SETTINGS_VARIABLE} is not set; set it or give --settings")
+    return Path(text)
+
+
 def load_platform_settings(path: Path) -> PlatformSettings:
     """Load and validate a settings file.
 
--- a/celeryfold/soak/deployment.py
+++ b/celeryfold/soak/deployment.py
@@ -16,6 +16,7 @@
 import trio
 
 from ..kernel.ids import UpstreamId
+from ..platform.settings import SETTINGS_VARIABLE
 from ..platform.standins import PlatformStandin
 from ..proxy.routes import Consistency
 from .forwarder import Forwarder
@@ -139,7 +140,7 @@
         """Run an instance and restart it after each exit until the deployment ends."""
         path = self._get_settings_path(instance)
         log = self.folder / f"{instance.name}.log"
-        environment = {**os.environ, "CELERYFOLD_BOOT": str(path)}
+        environment = {**os.environ, SETTINGS_VARIABLE: str(path)}
         command = [sys.executable, "-m", "celeryfold", "proxy"]
         while not self._is_closing:
             with log.open("ab") as output:
--- a/celeryfold/soak/faults.py
+++ b/celeryfold/soak/faults.py
@@ -19,7 +19,7 @@
 # Shorter than most faults last, so that faults overlap.
 MIN_INTERVAL_S = 0.1
 MAX_INTERVAL_S = 1.2
-# The longest pause of a machine that the documentation allows for, and longer than a
+# The longest pause of a host that the documentation allows for, and longer than a
 # lease.
 MAX_FAULT_S = 4.0
 MAX_REPEATS = 3
