--- a/celeryfold/proxy/placement.py
+++ b/celeryfold/proxy/placement.py
@@ -25,8 +25,8 @@
 N_MIN_DIRECT_CONNECTIONS = 2
 # Enough for a home to serve pinned transactions and short statements concurrently.
 N_CONNECTIONS_PER_HOME = 8
-# One part in this many of an upstream's connections is left for substitutes of homes.
-SUBSTITUTES_PART = 4
+# Share of an upstream's connections that is left for substitutes of lost homes.
+SUBSTITUTE_SHARE = 0.25
 # With more instances for each slot, their statements compete at the upstream, which
 # refuses statements that find no free slot; homes queue them instead.
 N_MAX_INSTANCES_PER_SLOT = 4
@@ -139,7 +139,7 @@
     :param is_substitute: whether the home is a substitute.
     """
     n_shared = max(n_connections - N_RESERVED_CONNECTIONS, 1)
-    n_for_substitutes = n_shared // SUBSTITUTES_PART
+    n_for_substitutes = int(n_shared * SUBSTITUTE_SHARE)
     n_left = n_for_substitutes if is_substitute else n_shared - n_for_substitutes
     return max(n_left // max(n_homes, 1), 1)
 
