--- a/celeryfold/bench/days.py
+++ b/celeryfold/bench/days.py
@@ -34,12 +34,19 @@
             f"{day.refused:.3f}",
             f"{day.failed:.3f}",
             ", ".join(_list_largest(day)),
-            " ".join(day.broken) or "kept",
+            _describe_rules(day),
         )
         for day in journal.days
     ]
 
 
+def _describe_rules(day: Day) -> str:
+    """Return the broken rules and the fault of a day, or that all rules were kept."""
+    found = [" ".join(day.broken)] if day.broken else []
+    found += [f"fault: {day.fault}"] if day.fault else []
+    return "; ".join(found) or "kept"
+
+
 def _list_largest(day: Day) -> list[str]:
     largest = sorted(day.losses, key=lambda loss: -loss.worth)[:N_LARGEST_SHOWN]
     return [f"{loss.name} {loss.worth:.3f}" for loss in largest]
--- a/celeryfold/platform/journals.py
+++ b/celeryfold/platform/journals.py
@@ -30,6 +30,7 @@
     :param is_quiet: whether the day has neither faults nor high load.
     :param worth: score of the day.
     :param broken: names of the rules broken.
+    :param fault: why the day counts for nothing although no rule was broken, or empty.
     """
 
     name: str
@@ -40,6 +41,7 @@
     failed: float
     losses: tuple[Loss, ...]
     broken: tuple[str, ...]
+    fault: str = ""
 
     def find_largest_loss(self) -> Loss | None:
         """Return the largest loss, or None if nothing was lost."""
@@ -73,6 +75,7 @@
     # Rows of name, amount and cost.
     prices: list[tuple[str, float, float]] = []
     rules: dict[str, Any] = {}
+    fault: str | None = None
 
 
 class _JournalBody(msgspec.Struct):
@@ -113,4 +116,5 @@
         failed=body.failed,
         losses=tuple(loss for loss in losses if loss.worth > 0.0),
         broken=tuple(sorted(body.rules)),
+        fault=body.fault or "",
     )
