--- a/celeryfold/platform/tests/test_decoding.py
+++ b/celeryfold/platform/tests/test_decoding.py
@@ -197,6 +197,7 @@
     [
         {"address": "10.0.0.1:99999"},
         {"address": "10.0.0.1:0"},
+        {"address": "10.0.0.1:" + "9" * 5000},
         {"address": "10.0.0.1:\u00b2"},
         {"address": "10.0.0.1"},
         {"address": "h\u0000x:1"},
--- a/celeryfold/wire/client.py
+++ b/celeryfold/wire/client.py
@@ -25,6 +25,7 @@
 READ_CHUNK_BYTES = 65_536
 CONNECT_TIMEOUT_S = 2.0
 MAX_PORT = 65_535
+N_PORT_DIGITS = 5
 MAX_IDLE_CHANNELS = 8
 IDLE_CHANNEL_TIMEOUT_S = 20.0
 
@@ -49,7 +50,8 @@
 def is_address(text: str) -> bool:
     """Return whether a text is an address that :func:`split_address` accepts."""
     host, _, port = text.rpartition(":")
-    is_number = port.isascii() and port.isdigit()
+    # Python refuses to convert a number of thousands of digits.
+    is_number = port.isascii() and port.isdigit() and len(port) <= N_PORT_DIGITS
     return bool(host) and is_number and 0 < int(port) <= MAX_PORT
 
 
