Log the era of the store and listings that are not applied

Cause: after a return of the store from an older copy, the logs could not tell a listing that was received and dropped as older from one that was never received, and no line said that the store had lost changes. Change: the client of the store reads the header Store-Era of each response, logs 'store restored from an older copy' with both eras and counts store.restored. The directory logs 'older listing dropped' with both revisions if the upstreams differ. The stand-ins of the store can return to a copy. No decision is changed.

--- a/celeryfold/platform/standins.py
+++ b/celeryfold/platform/standins.py
@@ -291,6 +291,12 @@
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Return the response to one call."""
+        response = await self._answer(request)
+        if self._store.era:
+            response.headers.append(("Store-Era", str(self._store.era)))
+        return response
+
+    async def _answer(self, request: HttpRequest) -> HttpResponse:
         query = {key: values[0] for key, values in parse_qs(request.query).items()}
         body = msgspec.json.decode(request.body) if request.body else {}
         try:
--- a/celeryfold/platform/store.py
+++ b/celeryfold/platform/store.py
@@ -5,6 +5,7 @@
 __all__ = ["HttpCoordinationStore"]
 
 import base64
+import logging
 from collections.abc import Sequence
 from typing import TypeVar
 from urllib.parse import quote
@@ -32,6 +33,8 @@
 from ..wire.client import HttpClient, ResponseLost, Unreachable
 from ..wire.messages import HttpResponse
 
+log = logging.getLogger(__name__)
+
 # The store responds within milliseconds normally and within 0.3 s when slow.
 CALL_TIMEOUT_S = 1.0
 JSON_HEADERS = (("Content-Type", "application/json"),)
@@ -40,6 +43,8 @@
 CONFLICT = 412
 GONE = 410
 REFUSED = (429, 503)
+# Rises by one each time the store returns from an older copy of its data.
+ERA_HEADER = "store-era"
 
 B = TypeVar("B")
 
@@ -80,6 +85,7 @@
     def __init__(self, address: str, metrics: Metrics) -> None:
         self._client = HttpClient(address)
         self._metrics = metrics
+        self.era = 0
 
     async def get(self, key: str) -> Item | None:
         """Return an item, or None if the key is absent."""
@@ -197,6 +203,7 @@
             raise StoreUnavailable(
                 f"no response to store call {kind}: {error}"
             ) from error
+        self._record_era(response, kind)
         if response.status in REFUSED:
             self._metrics.count("store.refused")
             raise StoreRefused(f"store call {kind} refused with {response.status}")
@@ -204,6 +211,18 @@
             raise StoreUnavailable(f"store call {kind} returned {response.status}")
         return response
 
+    def _record_era(self, response: HttpResponse, kind: str) -> None:
+        """Record the era of a response; log that it has changed."""
+        text = dict(response.headers).get(ERA_HEADER, "")
+        era = int(text) if text.isdecimal() else 0
+        if era == self.era:
+            return
+        if self.era:
+            self._metrics.count("store.restored")
+            extra = {"era": era, "previous": self.era, "call": kind}
+            log.warning("store restored from an older copy", extra=extra)
+        self.era = era
+
 
 def _decode(response: HttpResponse, body_type: type[B]) -> B:
     try:
--- a/celeryfold/proxy/directory.py
+++ b/celeryfold/proxy/directory.py
@@ -49,6 +49,7 @@
         :returns: whether it was newer.
         """
         if listing.revision <= self.listing.revision:
+            self._log_dropped(listing, origin)
             return False
         before = dict(self._known)
         self.listing = listing
@@ -61,6 +62,17 @@
             self._notify()
         return True
 
+    def _log_dropped(self, listing: Listing, origin: str) -> None:
+        """Log that a listing is not applied, if its upstreams differ."""
+        if set(listing.upstreams) == set(self.listing.upstreams):
+            return
+        extra = {
+            "revision": listing.revision,
+            "current": self.listing.revision,
+            "origin": origin,
+        }
+        log.warning("older listing dropped", extra=extra)
+
     def _track_missing(self, present: dict[UpstreamId, Upstream]) -> None:
         now = self._clock()
         for upstream_id in self._known:
--- a/celeryfold/proxy/store.py
+++ b/celeryfold/proxy/store.py
@@ -103,7 +103,14 @@
 
 
 class CoordinationStore(ABC):
-    """Client of the platform's store, whose calls are counted and billed."""
+    """Client of the platform's store, whose calls are counted and billed.
+
+    ``era`` is that of the latest answer, 0 before the first one. It rises when the
+    store returns from an older copy of its data: what it has acknowledged since the
+    copy is lost, and its revisions are given out again.
+    """
+
+    era: int = 0
 
     @abstractmethod
     async def get(self, key: str) -> Item | None:
--- a/celeryfold/proxy/tests/test_store_faults.py
+++ b/celeryfold/proxy/tests/test_store_faults.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import logging
+
 import msgspec
+import pytest
 import trio
 import trio.testing
 
-from celeryfold.kernel.ids import InstanceId, UpstreamId
+from celeryfold.kernel.ids import InstanceId, ServiceId, UpstreamId
+from celeryfold.proxy.directory import Directory, Listing
 from celeryfold.proxy.leases import LEASE_TTL_S, Duty, DutyLost, LeaseManager
 from celeryfold.proxy.routes import Consistency
 from celeryfold.proxy.statements import Read, Write
@@ -16,6 +20,7 @@
     SimulatedDeployment,
     make_route_table,
 )
+from celeryfold.standins.replicas import ReplicaSet
 
 from .test_failover import FIRST, check_nothing_lost, wait_written
 from .test_sessions import run_scenario
@@ -276,3 +281,16 @@
         assert len(watching) == 3
 
     run_scenario(scenario, SimulatedDeployment(n_instances=6))
+
+
+def test_a_listing_that_is_not_applied_is_logged(caplog: pytest.LogCaptureFixture):
+    """Without this line nobody can tell it from a listing that was never received."""
+    directory = Directory(lambda: 0.0)
+    upstream = ReplicaSet(ServiceId("orders"), 1).list_upstreams()[0]
+    with caplog.at_level(logging.WARNING):
+        directory.adopt(Listing(9, (upstream,)), "store")
+        directory.adopt(Listing(8, (upstream,)), "peer a")
+        assert not caplog.records
+        directory.adopt(Listing(8, ()), "peer b")
+    (line,) = caplog.records
+    assert (vars(line)["revision"], vars(line)["current"]) == (8, 9)
--- a/celeryfold/standins/coordination.py
+++ b/celeryfold/standins/coordination.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-__all__ = ["MemoryStore"]
+__all__ = ["MemoryStore", "StoreCopy"]
 
 from collections import Counter
 from collections.abc import Sequence
+from dataclasses import dataclass
 
 import trio
 
@@ -27,6 +28,19 @@
 )
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """The data of a store at one moment.
+
+    :param leases: the remaining time of each lease and its time to live, in seconds.
+    """
+
+    items: dict[str, Item]
+    revision: int
+    leases: dict[LeaseId, tuple[float, float]]
+    lease_of: dict[str, LeaseId]
+
+
 class MemoryStore(CoordinationStore):
     """The coordination store in memory, with faults set by attributes.
 
@@ -41,6 +55,7 @@
         self.calls: Counter[str] = Counter()
         self.items: dict[str, Item] = {}
         self.revision = 1
+        self.era = 0
         self._history: list[Change] = []
         self._compacted_revision = 0
         self._leases: dict[LeaseId, tuple[float, float]] = {}
@@ -73,6 +88,40 @@
         self._history = []
         self._compacted_revision = self.revision
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the data, to which the store can return."""
+        self._expire()
+        now = trio.current_time()
+        leases = {k: (until - now, ttl) for k, (until, ttl) in self._leases.items()}
+        return StoreCopy(dict(self.items), self.revision, leases, dict(self._lease_of))
+
+    def restore(self, copy: StoreCopy, own_prefix: str = "") -> None:
+        """Return to a copy; what was acknowledged since is lost and the era rises.
+
+        Revisions that were given out since are given out again. Waiting watches are
+        cut.
+
+        :param own_prefix: the keys of the system that uses the store, empty for all.
+            Operators and upstreams write other keys again as they were.
+        """
+        before = self.items
+        now = trio.current_time()
+        self.items = dict(copy.items)
+        self.revision = copy.revision
+        self.era += 1
+        self._leases = {k: (now + left, ttl) for k, (left, ttl) in copy.leases.items()}
+        self._lease_of = dict(copy.lease_of)
+        self._history = [c for c in self._history if c.revision <= copy.revision]
+        self._changed.set()
+        self._changed = trio.Event()
+        for key in sorted(before.keys() | copy.items.keys()):
+            if key.startswith(own_prefix):
+                continue
+            if key not in before:
+                self.delete(key)
+            elif key not in self.items or self.items[key].value != before[key].value:
+                self.write(key, before[key].value)
+
     def _record_change(self, change: Change) -> None:
         self._history.append(change)
         self._changed.set()
@@ -119,16 +168,17 @@
         """Return the changes after a revision, waiting for the first one.
 
         :param wait_s: longest wait, in seconds.
-        :raises HistoryLost: if the revision was compacted.
+        :raises HistoryLost: if the revision was compacted or is not yet given out.
         """
         await self._answer("watch")
-        if after < self._compacted_revision:
+        era = self.era
+        if after < self._compacted_revision or after > self.revision:
             raise HistoryLost("the revision was compacted; list the items again")
         with trio.move_on_after(wait_s):
-            while not self._find(prefix, after):
+            while self.era == era and not self._find(prefix, after):
                 await self._changed.wait()
         self._expire()
-        if self.is_down or self.is_silent:
+        if self.is_down or self.is_silent or self.era != era:
             raise StoreUnavailable("the watch was interrupted")
         return Changes(tuple(self._find(prefix, after)), self.revision)
 
--- a/celeryfold/wire/client.py
+++ b/celeryfold/wire/client.py
@@ -163,6 +163,7 @@
 
     async def _read_response(self, stream: trio.abc.Stream) -> HttpResponse:
         status = 0
+        headers: list[tuple[str, str]] = []
         body = bytearray()
         while True:
             event = self._parser.next_event()
@@ -172,10 +173,11 @@
                 self._parser.receive_data(bytes(data))
             elif isinstance(event, h11.Response):
                 status = event.status_code
+                headers = [(n.decode(), v.decode("latin-1")) for n, v in event.headers]
             elif isinstance(event, h11.Data):
                 body += event.data
             elif isinstance(event, h11.EndOfMessage):
-                return HttpResponse(status, bytes(body))
+                return HttpResponse(status, bytes(body), headers)
             elif event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
                 raise ResponseLost(f"{self.address} sent no complete response")
 
