Reproduce the return of the store from an older copy in tests that fail

Cause: revisions, leases, conditions, generations and records of a history that the store has lost are taken as those of the present one. Entries of upstreams in the simulated deployment are written only when they change, as on the platform; before, the heartbeats raised the revisions past the old ones within seconds and hid the fault.

--- a/celeryfold/standins/coordination.py
+++ b/celeryfold/standins/coordination.py
@@ -76,6 +76,16 @@
         self._record_change(Change(key, self.revision, item))
         return self.revision
 
+    def write_if_changed(self, key: str, value: bytes) -> None:
+        """Write a key if its value differs, as upstreams do with their entries."""
+        known = self.items.get(key)
+        if known is None or known.value != value:
+            self.write(key, value)
+
+    def connect(self) -> CoordinationStore:
+        """Return the store as one instance uses it."""
+        return self
+
     def delete(self, key: str) -> None:
         """Delete a key."""
         if self.items.pop(key, None) is not None:
--- a/celeryfold/standins/deployment.py
+++ b/celeryfold/standins/deployment.py
@@ -172,7 +172,7 @@
                 upstream = msgspec.structs.replace(
                     database.upstream, claimed_role=database.role
                 )
-                self.store.write(key, msgspec.json.encode(upstream))
+                self.store.write_if_changed(key, msgspec.json.encode(upstream))
             elif now > self._expires_at.get(upstream_id, 0.0):
                 self.store.delete(key)
 
@@ -193,7 +193,7 @@
             capacity=self.capacities.get(number),
         )
         platform = Platform(
-            store=self.store,
+            store=self.store.connect(),
             decoder=MemoryDecoder(),
             connector=_CallerConnector(self.replicas, instance_id),
             promotions=self.replicas,
--- a/celeryfold/standins/store.py
+++ b/celeryfold/standins/store.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-__all__ = ["StoreEngine"]
+__all__ = ["EngineCopy", "StoreEngine"]
 
 from collections import Counter
+from dataclasses import dataclass
 
 import trio
 
@@ -12,14 +13,26 @@
 from .faults import Faults
 
 
+@dataclass(frozen=True)
+class EngineCopy:
+    """The entries of a store at one moment."""
+
+    entries: dict[str, StoreEntry]
+    revision: int
+
+
 class StoreEngine:
-    """A key-value store that counts its calls by kind."""
+    """A key-value store that counts its calls by kind.
+
+    ``era`` rises with each return to an older copy.
+    """
 
     def __init__(self) -> None:
         self.faults = Faults()
         self.calls: Counter[str] = Counter()
         self._entries: dict[str, StoreEntry] = {}
         self._revision = 0
+        self.era = 0
         self._changed = trio.Event()
         self._leases: dict[str, float] = {}
 
@@ -67,6 +80,22 @@
                 found = self._find(prefix, after_revision)
         return found
 
+    def copy(self) -> EngineCopy:
+        """Return a copy of the entries, to which the store can return."""
+        self._expire()
+        return EngineCopy(dict(self._entries), self._revision)
+
+    def restore(self, copy: EngineCopy) -> None:
+        """Return to a copy; what was acknowledged since is lost and the era rises.
+
+        Revisions that were given out since are given out again.
+        """
+        self._entries = dict(copy.entries)
+        self._revision = copy.revision
+        self.era += 1
+        self._changed.set()
+        self._changed = trio.Event()
+
     def _find(self, prefix: str, after_revision: int) -> list[StoreEntry]:
         self._expire()
         return [
