Order what the store answers over all its eras

Cause: the store came back from an older copy, and the numbers of a history that it had lost were compared with those of the present one. Listings were dropped as older until the revisions had passed the old ones, watches from an old revision missed changes in silence, fencing tokens fell (44 to 28), and conditions and leases could hold by numbers that were given out again. Change: OrderedStore, between the proxy and the client of the store, joins the era of each answer (the header Store-Era) with its revision, so that revisions and tokens rise over all eras. A lease is active only in the era of its grant. Without the header the numbers are those of the store.

--- a/celeryfold/commands/proxy.py
+++ b/celeryfold/commands/proxy.py
@@ -29,6 +29,7 @@
 from ..proxy.clock import read_boot_clock
 from ..proxy.codec import PEER_CODEC
 from ..proxy.instance import Platform, ProxyInstance
+from ..proxy.ordered_store import OrderedStore
 from ..wire.client import split_address
 from ..wire.server import HttpServer
 
@@ -50,7 +51,9 @@
 def make_instance(settings: PlatformSettings, metrics: Metrics) -> ProxyInstance:
     """Return an instance with the drivers of the platform."""
     platform = Platform(
-        store=HttpCoordinationStore(settings.store, metrics),
+        store=OrderedStore(
+            HttpCoordinationStore(settings.store, metrics), read_boot_clock, metrics
+        ),
         decoder=PlatformEntryDecoder(),
         connector=LineConnector(settings.instance),
         promotions=HttpPromotions(settings.promotions, metrics),
--- a/celeryfold/platform/store.py
+++ b/celeryfold/platform/store.py
@@ -5,7 +5,6 @@
 __all__ = ["HttpCoordinationStore"]
 
 import base64
-import logging
 from collections.abc import Sequence
 from typing import TypeVar
 from urllib.parse import quote
@@ -33,8 +32,6 @@
 from ..wire.client import HttpClient, ResponseLost, Unreachable
 from ..wire.messages import HttpResponse
 
-log = logging.getLogger(__name__)
-
 # The store responds within milliseconds normally and within 0.3 s when slow.
 CALL_TIMEOUT_S = 1.0
 JSON_HEADERS = (("Content-Type", "application/json"),)
@@ -103,13 +100,17 @@
         """
         items: list[Item] = []
         as_of: int | None = None
+        era = self.era
         path = f"/kv-range?prefix={quote(prefix, safe='')}"
         page_path = path
         while True:
             response = await self._call("range", "GET", page_path)
             body = _decode(response, _RangeBody)
             items += [_make_item(item) for item in body.items]
-            as_of = body.as_of if as_of is None else as_of
+            if as_of is None:
+                as_of, era = body.as_of, self.era
+            elif self.era != era:
+                raise StoreUnavailable("the store was restored between two pages")
             if not body.has_more or not body.items:
                 return ItemList(tuple(items), as_of)
             page_path = f"{path}&after={quote(body.items[-1].key, safe='')}"
@@ -118,7 +119,7 @@
         """Return the changes below a prefix after a revision.
 
         :param wait_s: seconds to wait for a change.
-        :raises HistoryLost: if the store no longer has all changes after the revision.
+        :raises HistoryLost: if the store does not have all changes after the revision.
         """
         wait_ms = int(wait_s * 1000)
         path = f"/kv-watch?prefix={quote(prefix, safe='')}"
@@ -203,7 +204,7 @@
             raise StoreUnavailable(
                 f"no response to store call {kind}: {error}"
             ) from error
-        self._record_era(response, kind)
+        self._record_era(response)
         if response.status in REFUSED:
             self._metrics.count("store.refused")
             raise StoreRefused(f"store call {kind} refused with {response.status}")
@@ -211,17 +212,10 @@
             raise StoreUnavailable(f"store call {kind} returned {response.status}")
         return response
 
-    def _record_era(self, response: HttpResponse, kind: str) -> None:
-        """Record the era of a response; log that it has changed."""
+    def _record_era(self, response: HttpResponse) -> None:
         text = dict(response.headers).get(ERA_HEADER, "")
-        era = int(text) if text.isdecimal() else 0
-        if era == self.era:
-            return
-        if self.era:
-            self._metrics.count("store.restored")
-            extra = {"era": era, "previous": self.era, "call": kind}
-            log.warning("store restored from an older copy", extra=extra)
-        self.era = era
+        if text.isdecimal():
+            self.era = int(text)
 
 
 def _decode(response: HttpResponse, body_type: type[B]) -> B:
--- a/celeryfold/platform/tests/test_store.py
+++ b/celeryfold/platform/tests/test_store.py
@@ -11,8 +11,9 @@
 from celeryfold.kernel.metrics import Metrics
 from celeryfold.platform.standins import PlatformStandin
 from celeryfold.platform.store import HttpCoordinationStore
+from celeryfold.proxy.ordered_store import OrderedStore
 
-Scenario = Callable[[PlatformStandin, HttpCoordinationStore], Awaitable[None]]
+Scenario = Callable[[PlatformStandin, OrderedStore], Awaitable[None]]
 
 
 def run_scenario(scenario: Scenario) -> Metrics:
@@ -21,9 +22,10 @@
     async def run() -> None:
         async with trio.open_nursery() as nursery:
             standin = PlatformStandin("rewet-logs")
-            standin.store.era = 1
             await standin.http.start(nursery)
-            client = HttpCoordinationStore(f"127.0.0.1:{standin.http.port}", metrics)
+            address = f"127.0.0.1:{standin.http.port}"
+            driver = HttpCoordinationStore(address, metrics)
+            client = OrderedStore(driver, trio.current_time, metrics)
             await scenario(standin, client)
             await client.close()
             nursery.cancel_scope.cancel()
@@ -37,7 +39,7 @@
 ):
     """Without this line a loss of changes looks like an outage in the logs."""
 
-    async def scenario(standin: PlatformStandin, client: HttpCoordinationStore) -> None:
+    async def scenario(standin: PlatformStandin, client: OrderedStore) -> None:
         copy = standin.store.copy()
         assert await client.get("key") is None
         standin.store.restore(copy)
--- a/celeryfold/proxy/leases.py
+++ b/celeryfold/proxy/leases.py
@@ -42,6 +42,7 @@
         self._store = store
         self._clock = clock
         self._lease_id: LeaseId | None = None
+        self._lease_era = 0
         self._expires_at = -math.inf
         self._acquire_lock = trio.Lock()
         self.n_duties = 0
@@ -49,7 +50,9 @@
     @property
     def is_active(self) -> bool:
         """Whether the lease has certainly not expired."""
-        return self._lease_id is not None and self._clock() < self._expires_at
+        if self._lease_id is None or self._lease_era != self._store.era:
+            return False
+        return self._clock() < self._expires_at
 
     def is_current(self, lease_id: LeaseId | None) -> bool:
         """Return whether a lease is the current one and has certainly not expired."""
@@ -69,6 +72,7 @@
                 return self._lease_id
             asked_at = self._clock()
             lease = await self._store.grant_lease(LEASE_TTL_S)
+            self._lease_era = self._store.era
             self._lease_id = lease.lease_id
             self._expires_at = asked_at + lease.ttl_s
             return lease.lease_id
--- a/celeryfold/proxy/store.py
+++ b/celeryfold/proxy/store.py
@@ -18,6 +18,7 @@
     "StoreUnavailable",
 ]
 
+import math
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
 
@@ -112,6 +113,11 @@
 
     era: int = 0
 
+    @property
+    def era_age_s(self) -> float:
+        """Seconds since the first answer of the present era, infinite if not known."""
+        return math.inf
+
     @abstractmethod
     async def get(self, key: str) -> Item | None:
         """Return an item, or None if the key is absent.
--- a/celeryfold/proxy/tests/test_restored_store.py
+++ b/celeryfold/proxy/tests/test_restored_store.py
@@ -10,7 +10,12 @@
 from celeryfold.exceptions import CeleryfoldError
 from celeryfold.kernel.ids import InstanceId, UpstreamId
 from celeryfold.proxy.leases import LEASE_TTL_S, Duty, LeaseManager
-from celeryfold.proxy.store import CoordinationStore, Expectation, ItemWrite
+from celeryfold.proxy.store import (
+    CoordinationStore,
+    Expectation,
+    ItemWrite,
+    StoreUnavailable,
+)
 from celeryfold.standins.coordination import MemoryStore, StoreCopy
 from celeryfold.standins.deployment import SimulatedDeployment
 
@@ -233,7 +238,7 @@
         again = make_duty(instance._platform.store, f"instance-{first}")
         while later.is_held:
             await trio.sleep(0.05)
-            item = deployment.store.items.get(KEY)
+            item = await instance._platform.store.get(KEY)
             if item is not None and again.is_from_earlier_process(item):
                 try:
                     await again.take(item)
@@ -242,3 +247,19 @@
             assert not (again.is_held and later.is_held)
 
     run_with_quiet_entries(scenario)
+
+
+def test_a_late_answer_of_an_earlier_era_counts_as_no_answer():
+    """It may tell of keys that the store has lost since."""
+
+    async def scenario(store: MemoryStore) -> None:
+        client = store.connect()
+        await client.get(KEY)
+        store.era = 2
+        await client.get(KEY)
+        store.era = 1
+        with pytest.raises(StoreUnavailable):
+            await client.get(KEY)
+        assert client.era == 2
+
+    run_with_store(scenario)
--- a/celeryfold/standins/coordination.py
+++ b/celeryfold/standins/coordination.py
@@ -11,6 +11,8 @@
 import trio
 
 from ..kernel.ids import LeaseId
+from ..kernel.metrics import Metrics
+from ..proxy.ordered_store import OrderedStore
 from ..proxy.store import (
     Change,
     Changes,
@@ -55,7 +57,7 @@
         self.calls: Counter[str] = Counter()
         self.items: dict[str, Item] = {}
         self.revision = 1
-        self.era = 0
+        self.era = 1
         self._history: list[Change] = []
         self._compacted_revision = 0
         self._leases: dict[LeaseId, tuple[float, float]] = {}
@@ -84,7 +86,7 @@
 
     def connect(self) -> CoordinationStore:
         """Return the store as one instance uses it."""
-        return self
+        return OrderedStore(self, trio.current_time, Metrics())
 
     def delete(self, key: str) -> None:
         """Delete a key."""
