Wait for the leases of an earlier era before a duty is taken

Callers could have had two instances fail the same service over at once. Cause: a store that returns from an older copy has lost leases that still run at their holders, and has the keys of earlier holders again. Change: in a new era of the store no lease is taken until one time to live has passed since its first answer; then the era is recorded in the store, so that instances that start later need not wait. A store without the header Store-Era is used as before.

--- a/celeryfold/proxy/guardian.py
+++ b/celeryfold/proxy/guardian.py
@@ -195,7 +195,11 @@
             await self._start_duty()
             return
         is_vacant = item is None or self._duty.is_from_earlier_process(item)
-        if not is_vacant or not self._ports.watcher.is_connected:
+        if (
+            not is_vacant
+            or not self._ports.watcher.is_connected
+            or self._duty.must_wait
+        ):
             self._vacant_since = math.inf
             return
         self._vacant_since = min(self._vacant_since, self._clock())
--- a/celeryfold/proxy/leases.py
+++ b/celeryfold/proxy/leases.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-__all__ = ["Duty", "DutyLost", "LeaseManager"]
+__all__ = ["Duty", "DutyLost", "LeaseManager", "LeasesUnsettled"]
 
 import logging
 import math
@@ -31,20 +31,42 @@
 RENEW_INTERVAL_S = 0.8
 
 
+# Below the prefix of celeryfold's own keys.
+ERA_KEY = "celeryfold/era"
+
+
 class DutyLost(CeleryfoldError):
     """This instance does not hold the duty, or may no longer hold it."""
 
 
+class LeasesUnsettled(DutyLost):
+    """No duty can be taken yet: leases of an earlier era of the store may still run."""
+
+
 class LeaseManager:
-    """Keeps one lease alive while any duty is held."""
+    """Keeps one lease alive while any duty is held.
+
+    A store that has returned from an older copy may no longer have leases that still
+    run at their holders, and may have keys of earlier holders again. Instances
+    therefore wait for one time to live before they take a lease in a new era, and then
+    record the era in the store: those that start later need not wait.
 
-    def __init__(self, store: CoordinationStore, clock: Clock) -> None:
+    :param era_key: the store key under which the era is recorded.
+    """
+
+    def __init__(
+        self, store: CoordinationStore, clock: Clock, era_key: str = ERA_KEY
+    ) -> None:
         self._store = store
         self._clock = clock
         self._lease_id: LeaseId | None = None
         self._lease_era = 0
         self._expires_at = -math.inf
         self._acquire_lock = trio.Lock()
+        self._era_key = era_key
+        # The era in which no lease of an earlier era runs any more.
+        self._settled_era = 0
+        self._record_read_in = 0
         self.n_duties = 0
 
     @property
@@ -65,18 +87,58 @@
         renewal interval.
 
         :raises StoreUnavailable: if the store grants no lease.
+        :raises LeasesUnsettled: if leases of an earlier era may still run.
         """
         async with self._acquire_lock:
             if self.is_active and (self.n_duties or self._outlasts_renewal_interval()):
                 assert self._lease_id is not None
                 return self._lease_id
+            await self._settle()
             asked_at = self._clock()
             lease = await self._store.grant_lease(LEASE_TTL_S)
+            if self._store.era not in (0, self._settled_era):
+                raise LeasesUnsettled("the store returned from an older copy meanwhile")
             self._lease_era = self._store.era
             self._lease_id = lease.lease_id
             self._expires_at = asked_at + lease.ttl_s
             return lease.lease_id
 
+    @property
+    def must_wait(self) -> bool:
+        """Whether leases of an earlier era are known to run for some time yet."""
+        era = self._store.era
+        if era in (0, self._settled_era) or self._record_read_in != era:
+            return False
+        return self._store.era_age_s < LEASE_TTL_S
+
+    async def _settle(self) -> None:
+        """Check that leases of earlier eras have expired, and record the era if so.
+
+        :raises LeasesUnsettled: if they may still run.
+        :raises StoreUnavailable: if the store does not answer.
+        """
+        if self.must_wait:
+            raise LeasesUnsettled("leases of an earlier era may still run")
+        if self._store.era and self._store.era == self._settled_era:
+            return
+        item = await self._store.get(self._era_key)
+        era = self._record_read_in = self._store.era
+        value = str(era).encode()
+        if era and (item is None or item.value != value):
+            if self.must_wait:
+                raise LeasesUnsettled("leases of an earlier era may still run")
+            await self._record_era(item, value)
+        self._settled_era = era
+
+    async def _record_era(self, existing: Item | None, value: bytes) -> None:
+        expected = [Expectation(self._era_key, existing.revision if existing else 0)]
+        try:
+            await self._store.commit(expected, [ItemWrite(self._era_key, value)])
+        except StoreConflict:
+            # Another instance has recorded it.
+            return
+        log.info("era recorded", extra={"era": self._store.era})
+
     def _outlasts_renewal_interval(self) -> bool:
         """Return whether the lease lasts until the next renewal."""
         return self._expires_at - self._clock() > RENEW_INTERVAL_S
@@ -187,6 +249,11 @@
         holder = item.value.decode("utf-8", "replace").split(" ")[0]
         return holder == self.holder and item.value not in self._own_values
 
+    @property
+    def must_wait(self) -> bool:
+        """Whether the duty cannot be taken yet after a return of the store."""
+        return self._lease_manager.must_wait
+
     async def take(self, existing: Item | None) -> None:
         """Write the key if it is absent or still as given.
 
--- a/celeryfold/proxy/tests/test_store_faults.py
+++ b/celeryfold/proxy/tests/test_store_faults.py
@@ -11,7 +11,13 @@
 
 from celeryfold.kernel.ids import InstanceId, ServiceId, UpstreamId
 from celeryfold.proxy.directory import Directory, Listing
-from celeryfold.proxy.leases import LEASE_TTL_S, Duty, DutyLost, LeaseManager
+from celeryfold.proxy.leases import (
+    ERA_KEY,
+    LEASE_TTL_S,
+    Duty,
+    DutyLost,
+    LeaseManager,
+)
 from celeryfold.proxy.routes import Consistency
 from celeryfold.proxy.statements import Read, Write
 from celeryfold.standins.coordination import MemoryStore
@@ -143,6 +149,7 @@
 
     async def run() -> None:
         store = MemoryStore()
+        store.write(ERA_KEY, b"1")
         async with trio.open_nursery() as nursery:
             duties = []
             for name in ("one", "two"):
--- a/celeryfold/standins/deployment.py
+++ b/celeryfold/standins/deployment.py
@@ -26,6 +26,7 @@
 from ..kernel.metrics import Metrics
 from ..proxy.calls import Answer
 from ..proxy.instance import Platform, ProxyInstance, ProxySettings
+from ..proxy.leases import ERA_KEY
 from ..proxy.routes import Consistency, Route, RouteTable, ServiceRules
 from ..proxy.session import Session
 from ..proxy.statements import Statement
@@ -120,6 +121,8 @@
     def __init__(self, n_instances: int = 3, n_databases: int = 3) -> None:
         self.service = ServiceId("orders")
         self.store = MemoryStore()
+        # The store is one that instances have used in this era before.
+        self.store.write(ERA_KEY, str(self.store.era).encode())
         self.replicas = ReplicaSet(self.service, n_databases)
         self.instances: list[ProxyInstance] = []
         self.n_service_connections = 16
