Keep a dropped replica dropped when the returned record still names it

Cause: the next holder of a duty adds the members of the record in the store. After a return of the store from an older copy the record may be from before a replica was dropped. Change: the members remember with which list each was dropped; a record whose list is not newer does not add it again. A replica that is listed anew counts as before, and one that may have come back unseen is still in doubt.

--- a/celeryfold/proxy/guardian.py
+++ b/celeryfold/proxy/guardian.py
@@ -262,7 +262,11 @@
         statuses = await self._controls.read_statuses()
         positions = {member: status.received for member, status in statuses.items()}
         dropped = self._ack_set.drop_covered(
-            newest.position, newest.taken_at, positions, newest.upstream
+            newest.position,
+            newest.taken_at,
+            positions,
+            newest.upstream,
+            self._ports.directory.listing.revision,
         )
         for member in dropped:
             await self._controls.drop(member)
--- a/celeryfold/proxy/members.py
+++ b/celeryfold/proxy/members.py
@@ -55,6 +55,10 @@
         self._leaving: set[Member] = set()
         self._dropped: set[Member] = set()
         self._in_doubt_since: dict[Member, float] = {}
+        # The revision of the list with which a member was dropped. A record that is not
+        # newer than that does not make it a member again: after a return of the store
+        # from an older copy it may be from before the drop.
+        self._dropped_at: dict[Member, int] = {}
         self._last_gap_at = -math.inf
 
     @property
@@ -86,6 +90,7 @@
             self._missing_since[member] = None
             self._revisions[member] = revision
             self._dropped.discard(member)
+            self._dropped_at.pop(member, None)
             self._in_doubt_since.pop(member, None)
             if upstream.is_leaving:
                 self._leaving.add(member)
@@ -102,6 +107,7 @@
         """Add the members that the previous holder of the duty recorded.
 
         Missing members that the previous holder had dropped are dropped here, too.
+        Members that were dropped here with a list at least as new are not added.
 
         :param members: the recorded members.
         :param now: the current time, in seconds of this instance's clock.
@@ -110,7 +116,9 @@
         :returns: the members dropped.
         """
         for member in members:
-            self._missing_since.setdefault(member, now)
+            dropped_at = self._dropped_at.get(member)
+            if dropped_at is None or as_of is None or as_of > dropped_at:
+                self._missing_since.setdefault(member, now)
         if as_of is None:
             return []
         dropped = [
@@ -120,7 +128,7 @@
         ]
         for member in dropped:
             since = self._missing_since[member]
-            self._drop(member)
+            self._drop(member, as_of)
             if (
                 member in self._dropped
                 and since is not None
@@ -147,6 +155,7 @@
         sampled_at: float,
         positions: Mapping[Member, LogPosition],
         leader: UpstreamId,
+        revision: int = 0,
     ) -> list[Member]:
         """Drop the missing members whose commits another replica holds.
 
@@ -160,6 +169,7 @@
             clock.
         :param positions: the positions of the members that answer.
         :param leader: the id of the primary, whose own position does not count.
+        :param revision: the store's revision of the list.
         :returns: the members dropped.
         """
         others = [p for member, p in positions.items() if member.upstream_id != leader]
@@ -176,12 +186,13 @@
             if since is not None and since < sampled_at and member not in alive
         ]
         for member in dropped:
-            self._drop(member)
+            self._drop(member, revision)
         return dropped
 
-    def _drop(self, member: Member) -> None:
+    def _drop(self, member: Member, revision: int) -> None:
         """Remove a member, but remember one that was not leaving: it may come back."""
         del self._missing_since[member]
+        self._dropped_at[member] = revision
         self._revisions.pop(member, None)
         if member in self._leaving:
             self._leaving.discard(member)
