Let instances that ran before the return of the store guard first

Callers could have lost a commit that was acknowledged to them. Cause: a replica that was listed after the copy, acknowledged commits alone and is gone is in the memory of running instances only: the returned record does not name it. An instance that had just started took the duty by the returned key of its earlier process, and promoted a replica without these commits. Change: in an era that is not yet recorded, an instance that has not seen an earlier one waits for two times to live of a lease, the others for one. The stand-in of the store tells its era only with answers, as the store does; before, callers learned of it while cut off.

--- a/celeryfold/proxy/leases.py
+++ b/celeryfold/proxy/leases.py
@@ -49,7 +49,9 @@
     A store that has returned from an older copy may no longer have leases that still
     run at their holders, and may have keys of earlier holders again. Instances
     therefore wait for one time to live before they take a lease in a new era, and then
-    record the era in the store: those that start later need not wait.
+    record the era in the store: those that start later need not wait. An instance that
+    has not seen an earlier era waits for two, since it knows nothing of the replicas
+    that the returned records lack; others take the vacant duties before it.
 
     :param era_key: the store key under which the era is recorded.
     """
@@ -109,7 +111,8 @@
         era = self._store.era
         if era in (0, self._settled_era) or self._record_read_in != era:
             return False
-        return self._store.era_age_s < LEASE_TTL_S
+        wait_s = LEASE_TTL_S if self._store.has_seen_return else 2 * LEASE_TTL_S
+        return self._store.era_age_s < wait_s
 
     async def _settle(self) -> None:
         """Check that leases of earlier eras have expired, and record the era if so.
--- a/celeryfold/proxy/ordered_store.py
+++ b/celeryfold/proxy/ordered_store.py
@@ -168,6 +168,7 @@
             self._metrics.count("store.restored")
             extra = {"era": era, "previous": self.era}
             log.warning("store restored from an older copy", extra=extra)
+            self.has_seen_return = True
         self.era = era
         self._era_seen_at = self._clock()
         self._leases.clear()
--- a/celeryfold/proxy/store.py
+++ b/celeryfold/proxy/store.py
@@ -112,6 +112,8 @@
     """
 
     era: int = 0
+    # Whether the era has risen since the first answer.
+    has_seen_return: bool = False
 
     @property
     def era_age_s(self) -> float:
--- a/celeryfold/proxy/tests/test_restored_store.py
+++ b/celeryfold/proxy/tests/test_restored_store.py
@@ -26,7 +26,7 @@
 from celeryfold.standins.coordination import MemoryStore, StoreCopy
 from celeryfold.standins.deployment import SimulatedDeployment
 
-from .test_failover import FIRST, THIRD, check_nothing_lost, wait_written
+from .test_failover import FIRST, SECOND, THIRD, check_nothing_lost, wait_written
 from .test_sessions import run_scenario
 from .test_store_faults import list_versions
 
@@ -288,6 +288,8 @@
             await two._lease_manager.acquire()
         assert two.must_wait
         await trio.sleep(LEASE_TTL_S + 0.1)
+        assert two.must_wait
+        await trio.sleep(LEASE_TTL_S)
         assert not two.must_wait
         await two._lease_manager.acquire()
         assert store.items[ERA_KEY].value == b"2"
@@ -325,3 +327,39 @@
         assert not one.is_held
 
     run_with_store(scenario)
+
+
+def test_an_instance_without_memory_does_not_guard_first_after_the_return():
+    """Only the instances that ran before know a replica that the record lacks.
+
+    The replica was listed after the copy, acknowledged commits alone and is gone.
+    """
+    deployment = SimulatedDeployment()
+    deployment.has_busy_entries = False
+    deployment.unregistered.add(THIRD)
+    databases = deployment.replicas.databases
+    databases[THIRD].is_replication_cut = True
+
+    async def scenario(deployment: SimulatedDeployment) -> None:
+        copy = deployment.store.copy()
+        deployment.unregistered.discard(THIRD)
+        await trio.sleep(4.0)
+        databases[SECOND].is_replication_cut = True
+        databases[THIRD].is_replication_cut = False
+        await wait_written(deployment, 1, 5.0)
+        deployment.replicas.crash(THIRD)
+        await trio.sleep(8.0)
+        guardian = deployment.find_guardian()
+        assert guardian is not None
+        deployment.kill(guardian)
+        deployment.store.is_down = True
+        deployment.replicas.crash(FIRST)
+        databases[SECOND].is_replication_cut = False
+        deployment.store.restore(copy, OWN_PREFIX)
+        await deployment.start_again(guardian)
+        await trio.sleep(OUTAGE_S)
+        deployment.store.is_down = False
+        await trio.sleep(15.0)
+        assert not deployment.replicas.promotions
+
+    run_scenario(scenario, deployment)
--- a/celeryfold/standins/coordination.py
+++ b/celeryfold/standins/coordination.py
@@ -5,11 +5,13 @@
 __all__ = ["MemoryStore", "StoreCopy"]
 
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Awaitable, Sequence
 from dataclasses import dataclass
+from typing import TypeVar
 
 import trio
 
+from ..exceptions import CeleryfoldError
 from ..kernel.ids import LeaseId
 from ..kernel.metrics import Metrics
 from ..proxy.ordered_store import OrderedStore
@@ -29,6 +31,8 @@
     StoreUnavailable,
 )
 
+T = TypeVar("T")
+
 
 @dataclass(frozen=True)
 class StoreCopy:
@@ -86,7 +90,8 @@
 
     def connect(self) -> CoordinationStore:
         """Return the store as one instance uses it."""
-        return OrderedStore(self, trio.current_time, Metrics())
+        connection = _Connection(self)
+        return OrderedStore(connection, trio.current_time, Metrics())
 
     def delete(self, key: str) -> None:
         """Delete a key."""
@@ -258,3 +263,63 @@
 
     async def close(self) -> None:
         """Do nothing: the store holds no resources."""
+
+
+class _Connection(CoordinationStore):
+    """A store as one caller sees it, who learns of its era only from answers."""
+
+    def __init__(self, store: MemoryStore) -> None:
+        self._store = store
+
+    async def _call(self, call: Awaitable[T]) -> T:
+        try:
+            result = await call
+        except StoreUnavailable:
+            raise
+        except CeleryfoldError:
+            self.era = self._store.era
+            raise
+        self.era = self._store.era
+        return result
+
+    async def get(self, key: str) -> Item | None:
+        """Return an item, or None."""
+        return await self._call(self._store.get(key))
+
+    async def list_items(self, prefix: str) -> ItemList:
+        """Return all items below a prefix."""
+        return await self._call(self._store.list_items(prefix))
+
+    async def watch(self, prefix: str, after: int, wait_s: float) -> Changes:
+        """Return the changes after a revision, waiting for the first one.
+
+        :param wait_s: longest wait, in seconds.
+        """
+        return await self._call(self._store.watch(prefix, after, wait_s))
+
+    async def commit(
+        self,
+        expected: Sequence[Expectation],
+        writes: Sequence[ItemWrite] = (),
+        deletes: Sequence[str] = (),
+    ) -> int:
+        """Apply all writes and deletes atomically."""
+        return await self._call(self._store.commit(expected, writes, deletes))
+
+    async def grant_lease(self, ttl_s: float) -> Lease:
+        """Grant a lease.
+
+        :param ttl_s: seconds until it expires unless renewed.
+        """
+        return await self._call(self._store.grant_lease(ttl_s))
+
+    async def renew_lease(self, lease: LeaseId) -> None:
+        """Renew a lease for its time to live."""
+        await self._call(self._store.renew_lease(lease))
+
+    async def end_lease(self, lease: LeaseId) -> None:
+        """End a lease and delete the keys bound to it."""
+        await self._call(self._store.end_lease(lease))
+
+    async def close(self) -> None:
+        """Do nothing: the connection holds no resources."""
--- a/celeryfold/standins/deployment.py
+++ b/celeryfold/standins/deployment.py
@@ -228,6 +228,14 @@
         self.network.cut(instance_id)
         self._scopes[instance_id].cancel()
 
+    async def start_again(self, number: int) -> None:
+        """Start an instance that was killed, as a new process."""
+        self.killed.discard(number)
+        self.network.heal_endpoint(f"instance-{number}")
+        places = list(self._regions)
+        await self._start_instance(number, places[number % len(places)])
+        self.instances[number] = self.instances.pop()
+
     def find_guardian(self) -> int | None:
         """Return the number of the instance that guards the service, or None."""
         item = self.store.items.get(f"celeryfold/duties/{self.service}")
