Write back what a returned store has lost in the product's own interface

Callers saw a set of objects that was accepted and never in force, an accepted set that was gone after the fleet had started anew, and a group without a primary for good. Cause: the revisions of records and watches, and the generations of sets, were taken as rising, but a store that returns from an older copy gives them out again; and nobody but the store kept what it had acknowledged. Change: drivers.OrderedStore orders revisions over the eras of the store, as in the proxy.

--- a/celeryfold/bench/simulation.py
+++ b/celeryfold/bench/simulation.py
@@ -16,6 +16,7 @@
 from ..config.objects import ObjectSet, SlotDefinition
 from ..config.publishing import publish
 from ..drivers.listing import ListedInstance, Listing
+from ..drivers.ordered_store import OrderedStore
 from ..drivers.slot import Slot
 from ..entry.requests import StatementRequest, StatementResponse
 from ..exceptions import RequestFailure
@@ -141,7 +142,7 @@
             return LocalSlot(self.network, name, self.slots[definition.name])
 
         platform = Platform(
-            LocalStore(self.network, name, self.store),
+            OrderedStore(LocalStore(self.network, name, self.store)),
             LocalList(self.network, name, self.list),
             open_slot,
         )
--- a/celeryfold/commands/recover.py
+++ b/celeryfold/commands/recover.py
@@ -12,6 +12,7 @@
 from ..config.publishing import load_current
 from ..drivers.http_slot import HttpSlot
 from ..drivers.http_store import HttpStore
+from ..drivers.ordered_store import OrderedStore
 from ..drivers.slot import SlotUnreachable
 from ..drivers.store import StoreConflict, StoreUnavailable
 from ..exceptions import BadInput
@@ -24,7 +25,7 @@
 async def _recover(
     group: GroupId, slot: SlotId, address: str, accept_loss: bool
 ) -> int:
-    store = HttpStore(address)
+    store = OrderedStore(HttpStore(address))
     try:
         entry = await store.get(KEY_PREFIX + group)
         objects = await load_current(store)
--- a/celeryfold/commands/submit.py
+++ b/celeryfold/commands/submit.py
@@ -13,6 +13,7 @@
 from ..config.check import load_objects
 from ..config.publishing import Conflict, publish
 from ..drivers.http_store import HttpStore
+from ..drivers.ordered_store import OrderedStore
 from ..kernel.ids import Generation
 from .check import print_report
 
@@ -30,7 +31,7 @@
         print_report(checked.failure())
         return 2
     base = Generation(based_on) if based_on is not None else None
-    result = trio.run(publish, HttpStore(store), checked.unwrap(), base)
+    result = trio.run(publish, OrderedStore(HttpStore(store)), checked.unwrap(), base)
     if isinstance(result, Success):
         pointer = result.unwrap()
         click.echo(f"generation {pointer.generation} accepted ({pointer.digest})")
--- a/celeryfold/config/publishing.py
+++ b/celeryfold/config/publishing.py
@@ -19,6 +19,7 @@
 from dataclasses import dataclass
 
 import msgspec
+import trio
 from returns.result import Failure, Result, Success
 
 from ..drivers.store import Store, StoreConflict, StoreEntry, StoreUnavailable
@@ -29,6 +30,10 @@
 CURRENT_KEY = "celeryfold/current"
 BLOB_PREFIX = "celeryfold-sets/"
 N_READ_BACK_ATTEMPTS = 5
+# Instances notice the return of a store within the retry interval of their watch,
+# 0.5 s, and write back what it has lost.
+WRITE_BACK_POLL_S = 0.5
+N_WRITE_BACK_POLLS = 8
 
 
 class Pointer(msgspec.Struct, frozen=True):
@@ -37,11 +42,13 @@
     :param digest: hash of the set's manifest.
     :param submission: random id, by which a submitter recognizes its own write when it
         reads the pointer back.
+    :param era: the era of the store in which it was written.
     """
 
     generation: Generation
     digest: str
     submission: str
+    era: int = 0
 
 
 @dataclass(frozen=True)
@@ -97,15 +104,15 @@
     submission = secrets.token_hex(8)
     split = split_set(objects)
     try:
-        current = await store.get(CURRENT_KEY)
-        pointer = read_pointer(current)
+        current, pointer = await _read_current(store)
         generation = pointer.generation if pointer else Generation(0)
         if based_on is not None and generation != based_on and pointer is not None:
             return Failure(await _describe_conflict(store, objects, pointer))
         await _store_blobs(store, split, await _list_published_parts(store, pointer))
     except StoreUnavailable as error:
         return Failure(Unavailable(f"nothing was published: {error}"))
-    proposed = Pointer(Generation(generation + 1), split.digest, submission)
+    following = Generation(generation + 1)
+    proposed = Pointer(following, split.digest, submission, store.era)
     value = msgspec.json.encode(proposed)
     try:
         await store.compare_and_swap(
@@ -116,6 +123,23 @@
     return Success(proposed)
 
 
+async def _read_current(store: Store) -> tuple[StoreEntry | None, Pointer | None]:
+    """Return the pointer in force with its entry.
+
+    After a return of the store from an older copy, the running instances first write
+    back the newest pointer. Without instances it is taken as it is after a time.
+
+    :raises StoreUnavailable: if the store does not answer.
+    """
+    for _ in range(N_WRITE_BACK_POLLS):
+        entry = await store.get(CURRENT_KEY)
+        pointer = read_pointer(entry)
+        if pointer is None or pointer.era == store.era:
+            break
+        await trio.sleep(WRITE_BACK_POLL_S)
+    return entry, pointer
+
+
 async def _list_published_parts(
     store: Store, pointer: Pointer | None
 ) -> frozenset[str]:
--- a/celeryfold/daemon.py
+++ b/celeryfold/daemon.py
@@ -15,6 +15,7 @@
 from .config.settings import InstanceSettings
 from .drivers.http_slot import HttpSlot
 from .drivers.http_store import HttpInstanceList, HttpStore
+from .drivers.ordered_store import OrderedStore
 from .drivers.slot import SLOT_DRIVERS, Slot
 from .exceptions import BadInput
 from .fleet.members import Member
@@ -110,7 +111,7 @@
         return driver(definition.name, definition.address)  # type: ignore[call-arg]
 
     platform = Platform(
-        HttpStore(settings.store.address, metrics),
+        OrderedStore(HttpStore(settings.store.address, metrics)),
         HttpInstanceList(settings.instance_list.address),
         open_slot,
     )
--- a/celeryfold/drivers/http_store.py
+++ b/celeryfold/drivers/http_store.py
@@ -11,12 +11,22 @@
 
 from ..kernel.metrics import Metrics
 from ..wire.client import HttpClient, ResponseLost, Unreachable
+from ..wire.messages import HttpResponse
 from .listing import InstanceList, Listing, ListUnavailable
 from .requests import SwapBody, SwapResult, WatchResult
-from .store import Store, StoreConflict, StoreEntry, StoreUnavailable
+from .store import (
+    HistoryLost,
+    Store,
+    StoreConflict,
+    StoreEntry,
+    StoreUnavailable,
+)
 
 CALL_TIMEOUT_S = 1.0
 HTTP_OK = 200
+HTTP_GONE = 410
+# Rises by one each time the store returns from an older copy of its data.
+ERA_HEADER = "store-era"
 
 
 class HttpStore(Store):
@@ -58,7 +68,13 @@
     ) -> bytes:
         self._metrics.count(f"store.{kind}")
         try:
-            return await _request(self._client, method, path, body, timeout_s)
+            response = await _exchange(self._client, method, path, body, timeout_s)
+            era = dict(response.headers).get(ERA_HEADER, "")
+            if era.isdecimal():
+                self.era = int(era)
+            if response.status == HTTP_GONE:
+                raise HistoryLost("the store has not given out the revision")
+            return _read_body(response)
         except _CallFailed as error:
             self._metrics.count("store.unavailable")
             raise StoreUnavailable(
@@ -98,11 +114,20 @@
 async def _request(
     client: HttpClient, method: str, path: str, body: bytes, timeout_s: float
 ) -> bytes:
+    return _read_body(await _exchange(client, method, path, body, timeout_s))
+
+
+async def _exchange(
+    client: HttpClient, method: str, path: str, body: bytes, timeout_s: float
+) -> HttpResponse:
     try:
         with trio.fail_after(timeout_s):
-            response = await client.request(method, path, body)
+            return await client.request(method, path, body)
     except (Unreachable, ResponseLost, trio.TooSlowError) as error:
         raise _CallFailed from error
+
+
+def _read_body(response: HttpResponse) -> bytes:
     if response.status != HTTP_OK:
         raise _CallFailed(f"status {response.status}")
     return response.body
--- a/celeryfold/drivers/store.py
+++ b/celeryfold/drivers/store.py
@@ -2,13 +2,19 @@
 
 from __future__ import annotations
 
-__all__ = ["Store", "StoreConflict", "StoreEntry", "StoreUnavailable"]
+__all__ = [
+    "HistoryLost",
+    "Store",
+    "StoreConflict",
+    "StoreEntry",
+    "StoreUnavailable",
+]
 
 from abc import ABC, abstractmethod
 
 import msgspec
 
-from ..exceptions import StoreConflict, StoreUnavailable
+from ..exceptions import HistoryLost, StoreConflict, StoreUnavailable
 
 
 class StoreEntry(msgspec.Struct, frozen=True):
@@ -20,7 +26,19 @@
 
 
 class Store(ABC):
-    """Key-value store of the deployment; each call counts against its rate limits."""
+    """Key-value store of the deployment; each call counts against its rate limits.
+
+    ``era`` is that of the latest answer, 0 before the first one. It rises when the
+    store returns from an older copy of its data: what it has acknowledged since the
+    copy is lost, and its revisions are given out again.
+    """
+
+    era: int = 0
+
+    @property
+    def return_age_s(self) -> float | None:
+        """Seconds since the first answer after a return; None if none was seen."""
+        return None
 
     @abstractmethod
     async def get(self, key: str) -> StoreEntry | None:
@@ -46,6 +64,7 @@
         """Return the entries below a prefix that changed after a revision.
 
         :param wait_s: seconds to wait for a change; the result may then be empty.
+        :raises HistoryLost: if the store has not given out the revision.
         :raises StoreUnavailable: if the store does not respond.
         """
 
--- a/celeryfold/exceptions.py
+++ b/celeryfold/exceptions.py
@@ -25,6 +25,10 @@
     """The store gave no valid response; a change may still have taken effect."""
 
 
+class HistoryLost(CeleryfoldError):
+    """The store no longer has the requested changes; list the keys again."""
+
+
 class StoreConflict(CeleryfoldError):
     """The key was not at the expected revision; nothing was changed."""
 
--- a/celeryfold/fleet/watcher.py
+++ b/celeryfold/fleet/watcher.py
@@ -10,13 +10,14 @@
 import trio
 
 from ..drivers.listing import InstanceList, Listing
-from ..drivers.store import Store, StoreUnavailable
+from ..drivers.store import HistoryLost, Store, StoreUnavailable
 from ..exceptions import CeleryfoldError
 from ..kernel.events import EventKind, Timeline
 from .members import Member
 from .membership import Membership
 from .placement import rank_members
 from .replicated_state import ReplicatedState
+from .write_back import WriteBack
 
 log = logging.getLogger(__name__)
 
@@ -46,6 +47,7 @@
     :param platform: access to the store and the list.
     :param membership: receives new members.
     :param replicated_state: receives records, configuration and leaving slots.
+    :param write_back: writes back what the store lost that returned from an older copy.
     :param timeline: receives an event when the store fails or recovers.
     """
 
@@ -54,11 +56,14 @@
         platform: WatchPorts,
         membership: Membership,
         replicated_state: ReplicatedState,
+        write_back: WriteBack,
         timeline: Timeline,
     ) -> None:
         self._platform = platform
         self._membership = membership
         self._replicated_state = replicated_state
+        self._write_back = write_back
+        self._is_write_back_due = False
         self._timeline = timeline
         self._revision = 0
         self._is_store_down = False
@@ -84,6 +89,9 @@
                 await trio.sleep(INACTIVE_POLL_INTERVAL_S)
                 continue
             try:
+                if self._is_write_back_due:
+                    await self._write_back.run()
+                    self._is_write_back_due = False
                 entries = await self._platform.store.watch(
                     WATCH_PREFIX, self._revision, WATCH_WAIT_S
                 )
@@ -91,6 +99,10 @@
                 self._record_store_state(is_down=True)
                 await trio.sleep(RETRY_S)
                 continue
+            except HistoryLost:
+                self._revision = 0
+                self._is_write_back_due = True
+                continue
             self._record_store_state(is_down=False)
             for entry in entries:
                 self._revision = max(self._revision, entry.revision)
--- a/celeryfold/groups/record.py
+++ b/celeryfold/groups/record.py
@@ -59,6 +59,14 @@
     start_position: Position
     base: Base
 
+    @property
+    def progress(self) -> tuple[int, bool, int]:
+        """Measure that rises with each change of the record.
+
+        Within a term, the primary starts it once and confirming slots are only dropped.
+        """
+        return self.term, self.started, -len(self.confirming)
+
     @property
     def last_started(self) -> Base:
         """Guarantees of the last started term, which may be the current one."""
--- a/celeryfold/groups/record_cache.py
+++ b/celeryfold/groups/record_cache.py
@@ -31,7 +31,9 @@
 class RecordCache:
     """Cache of the group records that this instance has received.
 
-    A cached record is replaced only by a record of a higher store revision.
+    A cached record is replaced only by a record of a higher store revision that is not
+    an earlier version of it: a store that returns from an older copy has earlier
+    versions under higher revisions.
     """
 
     def __init__(self) -> None:
@@ -49,12 +51,15 @@
         return list(self._known.values())
 
     def adopt(self, known: KnownRecord) -> bool:
-        """Store a record if its revision is higher than that of the known one.
+        """Store a record if it is newer than the known one.
 
         :returns: whether the record was stored.
         """
         current = self._known.get(known.group)
-        if current is not None and current.revision >= known.revision:
+        if current is not None and (
+            current.revision >= known.revision
+            or current.record.progress > known.record.progress
+        ):
             return False
         self._known[known.group] = known
         self.version += 1
--- a/celeryfold/instance.py
+++ b/celeryfold/instance.py
@@ -28,6 +28,7 @@
 from .fleet.placement import Placement, find_guarded
 from .fleet.replicated_state import ReplicatedState
 from .fleet.watcher import Watcher
+from .fleet.write_back import WriteBack
 from .groups.freshness import Sample
 from .groups.guardian import Guardian, GuardianPorts
 from .groups.record_cache import KnownRecord, RecordCache
@@ -110,7 +111,16 @@
         self.placement = Placement(self.find_catalog)
         self.membership.subscribe(self.placement)
         self.watcher = Watcher(
-            platform, self.membership, self.replicated_state, timeline
+            platform,
+            self.membership,
+            self.replicated_state,
+            WriteBack(
+                platform.store,
+                self.configuration,
+                self.record_cache,
+                self.replicated_state,
+            ),
+            timeline,
         )
         self.home = Home(self, self.record_cache, timeline, metrics)
         router = Router(
--- a/celeryfold/proxy/store.py
+++ b/celeryfold/proxy/store.py
@@ -24,7 +24,12 @@
 
 import msgspec
 
-from ..exceptions import CeleryfoldError, StoreConflict, StoreUnavailable
+from ..exceptions import (
+    CeleryfoldError,
+    HistoryLost,
+    StoreConflict,
+    StoreUnavailable,
+)
 from ..kernel.ids import LeaseId
 
 
@@ -95,10 +100,6 @@
     """The store refused the call; nothing was done."""
 
 
-class HistoryLost(CeleryfoldError):
-    """The store no longer has the requested changes; list the keys again."""
-
-
 class LeaseLost(CeleryfoldError):
     """The lease has ended."""
 
--- a/celeryfold/standins/local.py
+++ b/celeryfold/standins/local.py
@@ -28,7 +28,13 @@
     SlotUnreachable,
     Statement,
 )
-from ..drivers.store import Store, StoreEntry, StoreUnavailable
+from ..drivers.store import (
+    HistoryLost,
+    Store,
+    StoreConflict,
+    StoreEntry,
+    StoreUnavailable,
+)
 from ..exceptions import CeleryfoldError
 from ..kernel.ids import Position, SlotId, Term
 from ..links.link import PeerLink, PeerUnreachable
@@ -273,7 +279,7 @@
     ) -> T:
         try:
             with trio.fail_after(timeout_s):
-                return await self._network.call(
+                result = await self._network.call(
                     self._endpoint,
                     STORE_NAME,
                     cause,
@@ -281,6 +287,11 @@
                 )
         except trio.TooSlowError as error:
             raise StoreUnavailable("the store did not answer in time") from error
+        except (HistoryLost, StoreConflict):
+            self.era = self._engine.era
+            raise
+        self.era = self._engine.era
+        return result
 
     async def get(self, key: str) -> StoreEntry | None:
         """Return an entry, or None."""
--- a/celeryfold/standins/servers.py
+++ b/celeryfold/standins/servers.py
@@ -29,7 +29,7 @@
     SlotUnreachable,
     StatementRejected,
 )
-from ..drivers.store import StoreConflict
+from ..drivers.store import HistoryLost, StoreConflict
 from ..exceptions import CeleryfoldError, RequestFailure
 from ..kernel.errors import ErrorKind
 from ..kernel.ids import Position, SlotId, Term
@@ -176,6 +176,14 @@
 
     async def answer(self, request: HttpRequest) -> HttpResponse:
         """Return the response to one store call."""
+        try:
+            response = await self._dispatch(request)
+        except HistoryLost:
+            response = HttpResponse(410)
+        response.headers.append(("Store-Era", str(self._engine.era)))
+        return response
+
+    async def _dispatch(self, request: HttpRequest) -> HttpResponse:
         query = parse_qs(request.query)
         if request.path == "/entry":
             return HttpResponse.from_object(self._engine.get(query["key"][0]))
--- a/celeryfold/standins/store.py
+++ b/celeryfold/standins/store.py
@@ -9,7 +9,7 @@
 
 import trio
 
-from ..drivers.store import StoreConflict, StoreEntry
+from ..drivers.store import HistoryLost, StoreConflict, StoreEntry
 from .faults import Faults
 
 
@@ -32,7 +32,7 @@
         self.calls: Counter[str] = Counter()
         self._entries: dict[str, StoreEntry] = {}
         self._revision = 0
-        self.era = 0
+        self.era = 1
         self._changed = trio.Event()
         self._leases: dict[str, float] = {}
 
@@ -71,11 +71,15 @@
         """Return the entries below a prefix that changed after a revision.
 
         :param wait_s: longest wait for a change, in seconds.
+        :raises HistoryLost: if the revision is not yet given out.
         """
         self.calls["watch"] += 1
+        if after_revision > self._revision:
+            raise HistoryLost(f"revision {after_revision} is not given out")
+        era = self.era
         found = self._find(prefix, after_revision)
         with trio.move_on_after(wait_s):
-            while not found:
+            while not found and self.era == era:
                 await self._changed.wait()
                 found = self._find(prefix, after_revision)
         return found
