Do not apply a listing of upstreams that is older than the watch

Cause: a guardian lists the upstreams beside the watch of the store. A list that was read before a change and arrived after it replaced the watcher's upstreams, and the next change published the older state; it was found again only by the next listing, up to 10 s later. Change: a list below the revision that the watch has applied changes nothing. Evidence: test_a_listing_that_arrives_late_does_not_undo_newer_changes failed before.

--- a/celeryfold/proxy/tests/test_store_faults.py
+++ b/celeryfold/proxy/tests/test_store_faults.py
@@ -20,6 +20,7 @@
 )
 from celeryfold.proxy.routes import Consistency
 from celeryfold.proxy.statements import Read, Write
+from celeryfold.proxy.store import ItemList
 from celeryfold.standins.coordination import MemoryStore
 from celeryfold.standins.deployment import (
     MemoryDecoder,
@@ -301,3 +302,33 @@
         directory.adopt(Listing(8, ()), "peer b")
     (line,) = caplog.records
     assert (vars(line)["revision"], vars(line)["current"]) == (8, 9)
+
+
+def test_a_listing_that_arrives_late_does_not_undo_newer_changes():
+    """The guardian lists the upstreams beside the watch, which may be ahead of it."""
+
+    async def scenario(deployment: SimulatedDeployment) -> None:
+        watcher = deployment.instances[0].watcher
+        real_list = deployment.store.list_items
+        stale = await real_list(MemoryDecoder.upstream_prefix)
+        second = deployment.replicas.databases[UpstreamId("orders-1")]
+        second.upstream = msgspec.structs.replace(second.upstream, is_leaving=True)
+        await trio.sleep(3.0)
+
+        async def list_late(prefix: str) -> ItemList:
+            return stale
+
+        deployment.store.list_items = list_late  # type: ignore[method-assign]
+        await watcher.read_upstreams()
+        deployment.store.list_items = real_list  # type: ignore[method-assign]
+        third = deployment.replicas.databases[UpstreamId("orders-2")]
+        third.upstream = msgspec.structs.replace(third.upstream, n_slots=7)
+        await trio.sleep(3.0)
+        for instance in deployment.instances:
+            upstream = instance.directory.find(UpstreamId("orders-1"))
+            assert upstream is not None
+            assert upstream.is_leaving
+
+    deployment = SimulatedDeployment()
+    deployment.has_busy_entries = False
+    run_scenario(scenario, deployment)
--- a/celeryfold/proxy/watcher.py
+++ b/celeryfold/proxy/watcher.py
@@ -147,12 +147,16 @@
     async def read_upstreams(self) -> int:
         """Read all upstreams from the store.
 
+        A list that is older than what the watch has applied since changes nothing.
+
         :returns: the revision of the store that was read.
         :raises StoreUnavailable: if the store does not answer.
         """
         listed = await self._store.list_items(self._decoder.upstream_prefix)
         if not self.is_connected or not self._as_of:
             self.n_watch_gaps += 1
+        if listed.as_of < self._as_of:
+            return listed.as_of
         self._upstreams = {}
         for item in listed.items:
             self._update_upstream(item)
