Explore group records over a return of the store to an earlier version

Change: the model of group records may return to any earlier version of the record; the newest one is written back before guardians change it. Without the write-back it finds two primaries of one term.

--- a/celeryfold/bench/exploration.py
+++ b/celeryfold/bench/exploration.py
@@ -4,7 +4,9 @@
 that primaries gave and the highest position that each slot reported in each term.
 Guardians and homes may act on any version of the record at any later time. Their orders
 may arrive late, twice or never, answers and reports may be arbitrarily old, and a slot
-may be unreachable at any time. The functions of :mod:`celeryfold.groups.record` and
+may be unreachable at any time. The store may return to any earlier version of the
+record; an instance that knows the newest one then writes it back before guardians
+change it. The functions of :mod:`celeryfold.groups.record` and
 :mod:`celeryfold.groups.freshness` that instances run decide which transitions exist.
 """
 
@@ -30,11 +32,15 @@
 
 @dataclass(frozen=True)
 class Bounds:
-    """Limits of the explored state space."""
+    """Limits of the explored state space.
+
+    :param n_returns: how often the store returns to an earlier version of the record.
+    """
 
     n_slots: int = 2
     n_writes: int = 2
     n_terms: int = 3
+    n_returns: int = 0
 
 
 @dataclass(frozen=True)
@@ -45,6 +51,7 @@
     may_acknowledge: Callable[..., bool] = shipped.may_acknowledge
     may_follow: Callable[[GroupRecord], bool] = lambda record: record.started
     can_grow_within_term: bool = False
+    writes_back: bool = True
     make_sample: Callable[..., Sample | None] = make_sample
 
 
@@ -78,6 +85,8 @@
     :param answers: the answers of primaries to homes.
     :param reached: the report with the highest position of each slot in each term.
     :param acknowledged: the answers that homes passed on to callers.
+    :param newest: the record that the store lost when it last returned to an earlier
+        version.
     """
 
     current: GroupRecord
@@ -86,6 +95,14 @@
     answers: frozenset[WriteAnswer] = frozenset()
     reached: frozenset[ReachedPosition] = frozenset()
     acknowledged: frozenset[WriteAnswer] = frozenset()
+    newest: GroupRecord | None = None
+    n_returns: int = 0
+
+    @property
+    def is_behind(self) -> bool:
+        """Whether the store has an earlier version than instances know."""
+        newest = self.newest
+        return newest is not None and self.current.progress < newest.progress
 
 
 @dataclass
@@ -171,6 +188,9 @@
     """Return the description of a guarantee that a state violates, if any."""
     current = state.current
     primary = state.slots[_get_slot_number(current.primary)]
+    if state.is_behind:
+        # Instances go by the newer record that they know.
+        return None
     if current.started and primary.is_primary and primary.ordered_term == current.term:
         for answer in state.acknowledged:
             if not _has_entry(primary.log, answer):
@@ -204,7 +224,11 @@
 
 
 def _list_transitions(state: State, bounds: Bounds, rules: Rules) -> Transitions:
-    yield from _change_record(state, bounds, rules)
+    if state.is_behind and rules.writes_back:
+        yield from _write_back(state)
+    else:
+        yield from _change_record(state, bounds, rules)
+    yield from _return_store(state, bounds)
     yield from _deliver_orders(state, rules)
     yield from _replicate(state)
     yield from _write(state, bounds)
@@ -239,6 +263,25 @@
             yield f"add {slot}", _replace_record(state, grown)
 
 
+def _return_store(state: State, bounds: Bounds) -> Transitions:
+    if state.n_returns >= bounds.n_returns or state.is_behind:
+        return
+    for version in state.versions:
+        if version.progress < state.current.progress:
+            returned = replace(
+                state,
+                current=version,
+                newest=state.current,
+                n_returns=state.n_returns + 1,
+            )
+            yield f"the store returns to {version.progress}", returned
+
+
+def _write_back(state: State) -> Transitions:
+    assert state.newest is not None
+    yield "write back", replace(state, current=state.newest, newest=None)
+
+
 def _propose(
     state: State, reports: dict[SlotId, SlotStatus], rules: Rules
 ) -> Transitions:
