Teach the soak the return of the store from an older copy

Change: a fault takes the store away and brings it back as of up to 10 s before. The stand-in of the platform checks the fencing tokens that it receives; before, each promotion counted as one of a newer holder, so that tokens that fall went unnoticed. It writes an entry of an upstream only if more than its sequence number has changed, as the platform does.

--- a/celeryfold/platform/standins.py
+++ b/celeryfold/platform/standins.py
@@ -131,10 +131,18 @@
                     "seq_no": n_heartbeats,
                     "born": upstream.born_ms,
                 }
-                value = msgspec.json.encode(entry)
-                self.store.write(f"servers/{upstream_id}", value)
+                self._write_entry(f"servers/{upstream_id}", entry)
             await trio.sleep(HEARTBEAT_INTERVAL_S)
 
+    def _write_entry(self, key: str, entry: dict[str, object]) -> None:
+        """Write an entry if more than its sequence number has changed."""
+        known = self.store.items.get(key)
+        if known is not None:
+            written = msgspec.json.decode(known.value)
+            if {**written, "seq_no": 0} == {**entry, "seq_no": 0}:
+                return
+        self.store.write(key, msgspec.json.encode(entry))
+
     def publish(
         self,
         version: int,
@@ -346,7 +354,7 @@
                 await self._store.end_lease(LeaseId(int(rest)))
                 return HttpResponse.from_object({})
             case "promote":
-                await self._promote(body)
+                await self._promote(request, body)
                 return HttpResponse.from_object({})
         return HttpResponse(404)
 
@@ -371,12 +379,11 @@
         revision = await self._store.commit(expected, writes, body["deletes"])
         return HttpResponse.from_object({"revision": revision})
 
-    async def _promote(self, body: Any) -> None:
-        # Handlers receive no headers, so each call counts as from a newer lease holder.
-        token = self._standin.replicas.highest_token + 1
-        await self._standin.replicas.promote(
-            body["service"], body["id"], InstanceId("holder"), token
-        )
+    async def _promote(self, request: HttpRequest, body: Any) -> None:
+        headers = dict(request.headers)
+        holder = InstanceId(headers[b"celeryfold-lease-holder"].decode())
+        token = int(headers[b"celeryfold-fencing-token"])
+        await self._standin.replicas.promote(body["service"], body["id"], holder, token)
 
 
 def _encode_item(item: Item) -> dict[str, str | int]:
--- a/celeryfold/soak/faults.py
+++ b/celeryfold/soak/faults.py
@@ -22,6 +22,10 @@
 # The longest pause of a host that the documentation allows for, and longer than a
 # lease.
 MAX_FAULT_S = 4.0
+# Copies of the store are some seconds old.
+MAX_COPY_AGE_S = 10.0
+# The keys that celeryfold itself writes; others are written again by their writers.
+OWN_PREFIX = "celeryfold/"
 MAX_REPEATS = 3
 REPEAT_INTERVAL_S = 0.4
 
@@ -145,6 +149,18 @@
         self.store.compact()
 
 
+class _StoreReturns(Fault):
+    """Takes the store away and brings it back as of some time before."""
+
+    async def inject(self) -> None:
+        copy = self.store.copy()
+        await trio.sleep(self.rng.uniform(0.2, MAX_COPY_AGE_S))
+        self.store.is_down = True
+        await trio.sleep(self.rng.uniform(0.2, MAX_FAULT_S))
+        self.store.restore(copy, OWN_PREFIX)
+        self.store.is_down = False
+
+
 class _Crash(Fault):
     async def inject(self) -> None:
         name = self.choose_database()
@@ -205,6 +221,7 @@
 FAULTS.add("store-silent", _StoreSilent)
 FAULTS.add("store-answers-lost", _StoreAnswersLost)
 FAULTS.add("store-forgets", _StoreCompacts)
+FAULTS.add("store-returns", _StoreReturns)
 FAULTS.add("crash", _Crash)
 FAULTS.add("deaf", _CutReplication)
 FAULTS.add("lag", _Lag)
--- a/celeryfold/wire/messages.py
+++ b/celeryfold/wire/messages.py
@@ -4,6 +4,7 @@
 
 __all__ = ["MAX_BODY_BYTES", "MAX_HEADER_BYTES", "HttpRequest", "HttpResponse"]
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -15,12 +16,16 @@
 
 @dataclass(frozen=True)
 class HttpRequest:
-    """An HTTP request received from a client."""
+    """An HTTP request received from a client.
+
+    :param headers: the names in lower case, with their values.
+    """
 
     method: str
     path: str
     body: bytes = b""
     query: str = ""
+    headers: Sequence[tuple[bytes, bytes]] = ()
 
 
 @dataclass(frozen=True)
--- a/celeryfold/wire/server.py
+++ b/celeryfold/wire/server.py
@@ -203,7 +203,8 @@
         if head is None:
             return None
         path, _, query = head.target.decode("ascii", "replace").partition("?")
-        return HttpRequest(head.method.decode("ascii"), path, bytes(body), query)
+        method = head.method.decode("ascii")
+        return HttpRequest(method, path, bytes(body), query, head.headers)
 
 
 def _check_header_size(head: h11.Request) -> None:
