--- a/celeryfold/commands/explain.py
+++ b/celeryfold/commands/explain.py
@@ -23,6 +23,7 @@
     "upstream reached": "upstream",
     "store lost": "",
     "store reached": "",
+    "store restored from an older copy": "",
     "primary suspected": "service",
     "promotion ordered": "service",
     "primary changed": "service",
