Wake the competitors of the duty histories apart

Cause: tasks that wake at the same time run in a random order, so that another instance held the duty first in some runs, and test_each_rule_is_needed found nothing to violate (one run of three).

--- a/celeryfold/proxy/tests/test_duty_histories.py
+++ b/celeryfold/proxy/tests/test_duty_histories.py
@@ -55,7 +55,9 @@
         scope = self.scopes[number] = trio.CancelScope()
         holder = InstanceId(f"i{number}")
         duty = Duty(KEY, holder, store, manager, trio.current_time)
-        self.nursery.start_soon(self.run, scope, manager, store, duty)
+        # Tasks that wake at the same time run in a random order, so they wake apart.
+        offset_s = number * STEP_S / 4
+        self.nursery.start_soon(self.run, scope, manager, store, duty, offset_s)
         return duty
 
     def connect(self, number: int) -> CoordinationStore:
@@ -79,8 +81,10 @@
         manager: LeaseManager,
         store: CoordinationStore,
         duty: Duty,
+        offset_s: float,
     ) -> None:
         with scope:
+            await trio.sleep(offset_s)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(manager.run)
                 while True:
