Check in the soak that leaving replicas get no more statements

Change: the soak records since when a replica has been registered as leaving while all other databases were well, and reports statements that were sent more than 5 s of undisturbed time after that and ran there. Databases leave for up to 12 s, before for up to 4 s.

--- a/celeryfold/soak/faults.py
+++ b/celeryfold/soak/faults.py
@@ -13,6 +13,7 @@
 
 from ..kernel.ids import UpstreamId
 from ..kernel.registry import Registry
+from ..standins.database import Database
 from .deployment import SoakDeployment
 from .forwarder import Forwarder
 
@@ -22,6 +23,8 @@
 # The longest pause of a host that the documentation allows for, and longer than a
 # lease.
 MAX_FAULT_S = 4.0
+# Longer than the bound by which instances stop using a leaving database.
+MAX_LEAVE_S = 12.0
 # Copies of the store are some seconds old.
 MAX_COPY_AGE_S = 10.0
 # The keys that celeryfold itself writes; others are written again by their writers.
@@ -190,11 +193,15 @@
 
     async def inject(self) -> None:
         database = self.replicas.databases[self.choose_database()]
-        for is_leaving in (True, False):
-            database.upstream = msgspec.structs.replace(
-                database.upstream, is_leaving=is_leaving
-            )
-            await trio.sleep(self.choose_duration_s())
+        self._mark(database, is_leaving=True)
+        await trio.sleep(self.rng.uniform(0.2, MAX_LEAVE_S))
+        self._mark(database, is_leaving=False)
+        await trio.sleep(self.choose_duration_s())
+
+    def _mark(self, database: Database, is_leaving: bool) -> None:
+        database.upstream = msgspec.structs.replace(
+            database.upstream, is_leaving=is_leaving
+        )
 
 
 class _LoseAnswers(Fault):
--- a/celeryfold/soak/run.py
+++ b/celeryfold/soak/run.py
@@ -15,6 +15,7 @@
 from .account_history import AccountHistory
 from .accounts import CLIENT_ACCOUNTS, PROBE_ACCOUNT, AccountBook
 from .clients import SoakClient
+from .departures import Departures
 from .deployment import SoakDeployment
 from .disturbances import Disturbances
 from .faults import FaultSchedule
@@ -79,6 +80,7 @@
         self.deployment = SoakDeployment(folder, settings.n_instances, accounts)
         self.checker = HistoryChecker(self.deployment.standin.replicas)
         self.accounts = AccountHistory(accounts, Disturbances())
+        self.departures = Departures(self.accounts.disturbances)
         self.schedule = FaultSchedule(self.deployment, seed, settings.only)
         self.recovery_s = 0.0
 
@@ -89,6 +91,7 @@
                 with trio.fail_after(START_TIMEOUT_S):
                     await self._wait_until_served("start")
                 nursery.start_soon(self.accounts.disturbances.watch, self.deployment)
+                nursery.start_soon(self.departures.watch, self.deployment)
                 for number in range(self.settings.n_clients):
                     nursery.start_soon(self._make_client(number).run)
                 async with trio.open_nursery() as faults:
@@ -163,6 +166,9 @@
             *soak.accounts.find_violations(
                 soak.deployment.standin.replicas.runs, checker.sent
             ),
+            *soak.departures.find_violations(
+                soak.deployment.standin.replicas.runs, checker.sent
+            ),
             *soak.deployment.unexpected_exits,
         ),
         injected=tuple(soak.schedule.injected),
