Bring the return of the store about on real processes in one directed run

Change: a run of the soak's own parts loses 40 revisions between two departures, with a primary that is further away. A replica counts as leaving also beside other leaving ones.

--- a/celeryfold/soak/departures.py
+++ b/celeryfold/soak/departures.py
@@ -78,7 +78,10 @@
 
 
 def _list_leaving(deployment: SoakDeployment) -> list[UpstreamId]:
-    """Return the replicas registered as leaving; none if another database is unwell."""
+    """Return the replicas registered as leaving.
+
+    Returns none if a database is unwell, or if all are leaving.
+    """
     store, replicas = deployment.standin.store, deployment.standin.replicas
     databases = replicas.databases
     is_well = all(
@@ -93,6 +96,6 @@
         if item is not None:
             registered[name] = msgspec.json.decode(item.value)["state"]
     leaving = [name for name, state in registered.items() if state == "draining"]
-    if len(registered) < len(databases) or len(leaving) > 1:
+    if len(registered) < len(databases) or len(leaving) == len(databases):
         return []
     return [n for n in leaving if databases[n].role is UpstreamRole.REPLICA]
--- a/celeryfold/soak/tests/test_soak.py
+++ b/celeryfold/soak/tests/test_soak.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 import trio
 
 from celeryfold.commands.soak import make_soak_settings
 from celeryfold.exceptions import BadInput
+from celeryfold.kernel.ids import PlaceId, UpstreamId
 from celeryfold.soak import SoakSettings, run_soak
+from celeryfold.soak.faults import OWN_PREFIX, Fault, FaultSchedule
 from celeryfold.soak.forwarder import Forwarder
+from celeryfold.standins.replicas import ReplicaSet
 
 # Seeds that led to a violation once, each with its cause.
 REGRESSIONS: dict[int, str] = {}
@@ -23,6 +27,51 @@
     assert report.injected
 
 
+class _Return(Fault):
+    """Lets replicas leave before and after a return of the store.
+
+    The revisions of the second departure are far below those of the first.
+    """
+
+    async def inject(self) -> None:
+        # Reads prefer replicas to a primary that is further away.
+        primary = self.replicas.databases[UpstreamId("orders-0")]
+        primary.upstream = msgspec.structs.replace(
+            primary.upstream, place=PlaceId("far")
+        )
+        await trio.sleep(2.0)
+        copy = self.store.copy()
+        for _ in range(40):
+            self.deployment.publish()
+        _leave(self.replicas, "orders-1")
+        await trio.sleep(2.0)
+        self.store.is_down = True
+        await trio.sleep(0.5)
+        self.store.restore(copy, OWN_PREFIX)
+        self.store.is_down = False
+        await trio.sleep(0.5)
+        _leave(self.replicas, "orders-2")
+        await trio.sleep(60.0)
+
+
+def _leave(replicas: ReplicaSet, name: str) -> None:
+    database = replicas.databases[UpstreamId(name)]
+    database.upstream = msgspec.structs.replace(database.upstream, is_leaving=True)
+
+
+def test_processes_notice_departures_after_a_return_of_the_store(tmp_path, monkeypatch):
+    """The random runs seldom lose enough revisions to show this fault."""
+    monkeypatch.setattr(FaultSchedule, "run", run_return_once)
+    settings = SoakSettings(n_instances=2, n_clients=8, seconds=18.0, settle_s=0.0)
+    report = run_soak(1, settings, tmp_path)
+    assert not report.broken
+    assert report.n_succeeded > 0
+
+
+async def run_return_once(self: FaultSchedule, nursery: trio.Nursery) -> None:
+    await _Return(self._deployment, self._rng).inject()
+
+
 def test_all_wrong_options_are_reported_at_once():
     with pytest.raises(BadInput) as caught:
         make_soak_settings(0, 0, 0.0, ("nonsense",))
