--- a/celeryfold/proxy/leases.py
+++ b/celeryfold/proxy/leases.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-__all__ = ["Duty", "DutyLost", "LeaseManager", "LeasesUnsettled"]
+__all__ = ["ERA_KEY", "Duty", "DutyLost", "LeaseManager", "LeasesUnsettled"]
 
 import logging
 import math
@@ -29,9 +29,7 @@
 # so that one lost answer does not let it expire.
 LEASE_TTL_S = 2.4
 RENEW_INTERVAL_S = 0.8
-
-
-# Below the prefix of celeryfold's own keys.
+# The store key that names the era in which all leases of earlier ones have expired.
 ERA_KEY = "celeryfold/era"
 
 
@@ -52,23 +50,19 @@
     record the era in the store: those that start later need not wait. An instance that
     has not seen an earlier era waits for two, since it knows nothing of the replicas
     that the returned records lack; others take the vacant duties before it.
-
-    :param era_key: the store key under which the era is recorded.
     """
 
-    def __init__(
-        self, store: CoordinationStore, clock: Clock, era_key: str = ERA_KEY
-    ) -> None:
+    def __init__(self, store: CoordinationStore, clock: Clock) -> None:
         self._store = store
         self._clock = clock
         self._lease_id: LeaseId | None = None
         self._lease_era = 0
         self._expires_at = -math.inf
         self._acquire_lock = trio.Lock()
-        self._era_key = era_key
         # The era in which no lease of an earlier era runs any more.
         self._settled_era = 0
-        self._record_read_in = 0
+        # The era of the answer when the recorded era was last read.
+        self._recorded_era_read_in = 0
         self.n_duties = 0
 
     @property
@@ -109,7 +103,7 @@
     def must_wait(self) -> bool:
         """Whether leases of an earlier era are known to run for some time yet."""
         era = self._store.era
-        if era in (0, self._settled_era) or self._record_read_in != era:
+        if era in (0, self._settled_era) or self._recorded_era_read_in != era:
             return False
         wait_s = LEASE_TTL_S if self._store.has_seen_return else 2 * LEASE_TTL_S
         return self._store.era_age_s < wait_s
@@ -124,8 +118,8 @@
             raise LeasesUnsettled("leases of an earlier era may still run")
         if self._store.era and self._store.era == self._settled_era:
             return
-        item = await self._store.get(self._era_key)
-        era = self._record_read_in = self._store.era
+        item = await self._store.get(ERA_KEY)
+        era = self._recorded_era_read_in = self._store.era
         value = str(era).encode()
         if era and (item is None or item.value != value):
             if self.must_wait:
@@ -134,9 +128,9 @@
         self._settled_era = era
 
     async def _record_era(self, existing: Item | None, value: bytes) -> None:
-        expected = [Expectation(self._era_key, existing.revision if existing else 0)]
+        expected = [Expectation(ERA_KEY, existing.revision if existing else 0)]
         try:
-            await self._store.commit(expected, [ItemWrite(self._era_key, value)])
+            await self._store.commit(expected, [ItemWrite(ERA_KEY, value)])
         except StoreConflict:
             # Another instance has recorded it.
             return
