--- a/celeryfold/kernel/revisions.py
+++ b/celeryfold/kernel/revisions.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-__all__ = ["find_era", "find_number", "format_revision", "join_revision"]
+__all__ = ["find_era", "find_number", "join_revision"]
 
 # Leaves room for 10^12 changes in an era, and for 2^23 eras in a signed 64-bit integer.
 NUMBER_BITS = 40
@@ -28,9 +28,3 @@
 def find_number(revision: int) -> int:
     """Return the number that the store gave out."""
     return revision & _NUMBER_MASK
-
-
-def format_revision(revision: int) -> str:
-    """Return a revision as ``ERA.NUMBER``, or its number in a store without eras."""
-    era, number = find_era(revision), find_number(revision)
-    return f"{era}.{number}" if era else str(number)
