--- a/celeryfold/balancing/tests/test_fair_queue.py
+++ b/celeryfold/balancing/tests/test_fair_queue.py
@@ -180,7 +180,10 @@
 
 
 def test_entries_that_are_never_served_leave_nothing_behind():
-    """Load: all entries time out at a mute upstream. Fails if removed ones add up."""
+    """Load: all entries time out at an unresponsive upstream.
+
+    Fails if removed ones add up.
+    """
     queue = AccountQueue()
     first = Entry(0, LARGE)
     queue.push(first)
--- a/celeryfold/bench/exploration.py
+++ b/celeryfold/bench/exploration.py
@@ -4,8 +4,8 @@
 that primaries gave and the highest position that each slot reported in each term.
 Guardians and homes may act on any version of the record at any later time. Their orders
 may arrive late, twice or never, answers and reports may be arbitrarily old, and a slot
-may be unreachable at any time. The store may return to any earlier version of the
-record; an instance that knows the newest one then writes it back before guardians
+may be unreachable at any time. The store may be restored to any earlier version of
+the record; an instance that knows the newest one then writes it back before guardians
 change it. The functions of :mod:`celeryfold.groups.record` and
 :mod:`celeryfold.groups.freshness` that instances run decide which transitions exist.
 """
@@ -34,13 +34,13 @@
 class Bounds:
     """Limits of the explored state space.
 
-    :param n_returns: how often the store returns to an earlier version of the record.
+    :param n_restores: how often the store is restored to an earlier record.
     """
 
     n_slots: int = 2
     n_writes: int = 2
     n_terms: int = 3
-    n_returns: int = 0
+    n_restores: int = 0
 
 
 @dataclass(frozen=True)
@@ -85,8 +85,8 @@
     :param answers: the answers of primaries to homes.
     :param reached: the report with the highest position of each slot in each term.
     :param acknowledged: the answers that homes passed on to callers.
-    :param newest: the record that the store lost when it last returned to an earlier
-        version.
+    :param newest: the record that the store lost when it was last restored to an
+        earlier version.
     """
 
     current: GroupRecord
@@ -96,7 +96,7 @@
     reached: frozenset[ReachedPosition] = frozenset()
     acknowledged: frozenset[WriteAnswer] = frozenset()
     newest: GroupRecord | None = None
-    n_returns: int = 0
+    n_restores: int = 0
 
     @property
     def is_behind(self) -> bool:
@@ -228,7 +228,7 @@
         yield from _write_back(state)
     else:
         yield from _change_record(state, bounds, rules)
-    yield from _return_store(state, bounds)
+    yield from _restore_store(state, bounds)
     yield from _deliver_orders(state, rules)
     yield from _replicate(state)
     yield from _write(state, bounds)
@@ -263,8 +263,8 @@
             yield f"add {slot}", _replace_record(state, grown)
 
 
-def _return_store(state: State, bounds: Bounds) -> Transitions:
-    if state.n_returns >= bounds.n_returns or state.is_behind:
+def _restore_store(state: State, bounds: Bounds) -> Transitions:
+    if state.n_restores >= bounds.n_restores or state.is_behind:
         return
     for version in state.versions:
         if version.progress < state.current.progress:
@@ -272,9 +272,9 @@
                 state,
                 current=version,
                 newest=state.current,
-                n_returns=state.n_returns + 1,
+                n_restores=state.n_restores + 1,
             )
-            yield f"the store returns to {version.progress}", returned
+            yield f"the store is restored to {version.progress}", returned
 
 
 def _write_back(state: State) -> Transitions:
--- a/celeryfold/bench/tests/test_exploration.py
+++ b/celeryfold/bench/tests/test_exploration.py
@@ -19,10 +19,10 @@
 pytestmark = pytest.mark.proof
 
 SMALL = Bounds(n_slots=2, n_writes=1, n_terms=3)
-RETURNS = Bounds(n_slots=2, n_writes=1, n_terms=2, n_returns=1)
-LARGE = [replace(RETURNS, n_terms=3), Bounds(2, 2, 3), Bounds(3, 1, 2)]
+RESTORES = Bounds(n_slots=2, n_writes=1, n_terms=2, n_restores=1)
+LARGE = [replace(RESTORES, n_terms=3), Bounds(2, 2, 3), Bounds(3, 1, 2)]
 IS_THOROUGH = os.environ.get("HYPOTHESIS_PROFILE") == "prove"
-BOUNDS = [SMALL, RETURNS, *LARGE] if IS_THOROUGH else [SMALL, RETURNS]
+BOUNDS = [SMALL, RESTORES, *LARGE] if IS_THOROUGH else [SMALL, RESTORES]
 
 
 def promote_anyone(record, slot, status) -> bool:
@@ -81,7 +81,7 @@
     "acknowledge alone": (replace(Rules(), may_acknowledge=acknowledge_alone), SMALL),
     "grow within a term": (replace(Rules(), can_grow_within_term=True), SMALL),
     "lowest position as bound": (replace(Rules(), make_sample=sample_lowest), SMALL),
-    "no write-back after a return": (replace(Rules(), writes_back=False), RETURNS),
+    "no write-back after a restore": (replace(Rules(), writes_back=False), RESTORES),
     "term of last entry only": (
         replace(Rules(), make_sample=sample_by_last_entry),
         Bounds(2, 2, 3),
--- a/celeryfold/config/publishing.py
+++ b/celeryfold/config/publishing.py
@@ -30,7 +30,7 @@
 CURRENT_KEY = "celeryfold/current"
 BLOB_PREFIX = "celeryfold-sets/"
 N_READ_BACK_ATTEMPTS = 5
-# Instances notice the return of a store within the retry interval of their watch,
+# Instances notice a restore of the store within the retry interval of their watch,
 # 0.5 s, and write back what it has lost.
 WRITE_BACK_POLL_S = 0.5
 N_WRITE_BACK_POLLS = 8
@@ -126,7 +126,7 @@
 async def _read_current(store: Store) -> tuple[StoreEntry | None, Pointer | None]:
     """Return the pointer in force with its entry.
 
-    After a return of the store from an older copy, the running instances first write
+    After a restore of the store from an older copy, the running instances first write
     back the newest pointer. Without instances it is taken as it is after a time.
 
     :raises StoreUnavailable: if the store does not answer.
--- a/celeryfold/drivers/http_store.py
+++ b/celeryfold/drivers/http_store.py
@@ -25,7 +25,7 @@
 CALL_TIMEOUT_S = 1.0
 HTTP_OK = 200
 HTTP_GONE = 410
-# Rises by one each time the store returns from an older copy of its data.
+# Rises by one each time the store is restored from an older copy of its data.
 ERA_HEADER = "store-era"
 
 
--- a/celeryfold/drivers/ordered_store.py
+++ b/celeryfold/drivers/ordered_store.py
@@ -21,7 +21,7 @@
 
 
 class OrderedStore(Store):
-    """Orders the answers of a store that may return from an older copy.
+    """Orders the answers of a store that may be restored from an older copy.
 
     Revisions rise over all eras. A watch from a revision of an earlier era fails with
     :class:`HistoryLost`, a write on such a condition with :class:`StoreConflict`.
@@ -31,14 +31,14 @@
 
     def __init__(self, store: Store) -> None:
         self._store = store
-        self._returned_at: float | None = None
+        self._restored_at: float | None = None
 
     @property
-    def return_age_s(self) -> float | None:
-        """Seconds since the first answer after a return; None if none was seen."""
-        if self._returned_at is None:
+    def restore_age_s(self) -> float | None:
+        """Seconds since the first answer after a restore; None if none was seen."""
+        if self._restored_at is None:
             return None
-        return trio.current_time() - self._returned_at
+        return trio.current_time() - self._restored_at
 
     async def get(self, key: str) -> StoreEntry | None:
         """Return an entry, or None if the key is absent."""
@@ -57,12 +57,12 @@
         """
         era = self.era
         if expected and find_era(expected) != era:
-            raise StoreConflict(f"{key}: the store has returned from an older copy")
+            raise StoreConflict(f"{key}: the store was restored from an older copy")
         number = await self._call(
             self._store.compare_and_swap(key, find_number(expected), value)
         )
         if era not in (0, self.era):
-            raise StoreUnavailable("the store returned from an older copy meanwhile")
+            raise StoreUnavailable("the store was restored meanwhile")
         return join_revision(self.era, number)
 
     async def watch(
@@ -78,7 +78,7 @@
             entries = await self._call(self._store.watch(prefix, number, wait_s))
             if not after_revision or find_era(after_revision) == self.era:
                 return [self._order(entry) for entry in entries]
-        raise HistoryLost("the store has returned from an older copy since")
+        raise HistoryLost("the store was restored from an older copy since")
 
     async def close(self) -> None:
         """Release the resources of the driver."""
@@ -104,11 +104,11 @@
             return
         if self.era:
             log.warning(
-                "the store returned from an older copy: era %s, before %s",
+                "the store was restored from an older copy: era %s, before %s",
                 era,
                 self.era,
             )
-            self._returned_at = trio.current_time()
+            self._restored_at = trio.current_time()
         self.era = era
 
     def _order(self, entry: StoreEntry) -> StoreEntry:
--- a/celeryfold/drivers/store.py
+++ b/celeryfold/drivers/store.py
@@ -29,15 +29,15 @@
     """Key-value store of the deployment; each call counts against its rate limits.
 
     ``era`` is that of the latest answer, 0 before the first one. It rises when the
-    store returns from an older copy of its data: what it has acknowledged since the
+    store is restored from an older copy of its data: what it has acknowledged since the
     copy is lost, and its revisions are given out again.
     """
 
     era: int = 0
 
     @property
-    def return_age_s(self) -> float | None:
-        """Seconds since the first answer after a return; None if none was seen."""
+    def restore_age_s(self) -> float | None:
+        """Seconds since the first answer after a restore; None if none was seen."""
         return None
 
     @abstractmethod
--- a/celeryfold/fleet/tests/test_restored_store.py
+++ b/celeryfold/fleet/tests/test_restored_store.py
@@ -1,4 +1,4 @@
-"""The key-value store returns from an older copy and has lost what it acknowledged."""
+"""The key-value store is restored from an older copy and lacks recent changes."""
 
 from __future__ import annotations
 
@@ -33,7 +33,7 @@
     return {i.configuration.digest for i in simulation.instances.values()}
 
 
-def test_a_set_that_is_accepted_after_the_return_is_in_force():
+def test_a_set_that_is_accepted_after_the_restore_is_in_force():
     """Its generation was given out before, to a set that the store has lost."""
 
     async def use(simulation: Simulation) -> None:
@@ -50,7 +50,7 @@
 
 
 def test_a_set_that_the_store_has_lost_is_written_again():
-    """A fleet that starts anew after the return must not go back to an older set."""
+    """A fleet that starts anew after the restore must not go back to an older set."""
 
     async def use(simulation: Simulation) -> None:
         copy = simulation.store.copy()
@@ -74,7 +74,7 @@
     run_simulation(make_small_simulation(), use)
 
 
-def test_a_primary_is_replaced_after_the_return():
+def test_a_primary_is_replaced_after_the_restore():
     """The record has a lower revision than the one that the instances know."""
 
     async def use(simulation: Simulation) -> None:
--- a/celeryfold/fleet/watcher.py
+++ b/celeryfold/fleet/watcher.py
@@ -47,7 +47,7 @@
     :param platform: access to the store and the list.
     :param membership: receives new members.
     :param replicated_state: receives records, configuration and leaving slots.
-    :param write_back: writes back what the store lost that returned from an older copy.
+    :param write_back: writes back what a store lacks after a restore.
     :param timeline: receives an event when the store fails or recovers.
     """
 
--- a/celeryfold/fleet/write_back.py
+++ b/celeryfold/fleet/write_back.py
@@ -1,4 +1,4 @@
-"""Writing back what a store has lost that returned from an older copy."""
+"""Writing back what a store lacks that was restored from an older copy."""
 
 from __future__ import annotations
 
@@ -21,10 +21,10 @@
 
 
 class WriteBack:
-    """Writes the newest known records and configuration to a returned store.
+    """Writes the newest known records and configuration to a restored store.
 
-    Each watcher does this when it notices the return; of concurrent writes of a key one
-    succeeds. What no running instance knows is lost.
+    Each watcher does this when it notices the restore; of concurrent writes of a key
+    one succeeds. What no running instance knows is lost.
 
     :param configuration: the configuration in force at this instance.
     :param record_cache: the records that this instance knows.
@@ -76,7 +76,7 @@
     async def _write_pointer(self) -> None:
         """Write the configuration in force back, or mark the stored one as current.
 
-        A set that was published since the return is kept. It gets a new generation if
+        A set that was published since the restore is kept. It gets a new generation if
         its own was used before, since instances adopt only a higher one.
         """
         entry = await self._store.get(CURRENT_KEY)
--- a/celeryfold/groups/guardian.py
+++ b/celeryfold/groups/guardian.py
@@ -42,9 +42,9 @@
 MAX_PROBATION_S = 60.0
 # Delay per rank, so that a backup guardian acts only if those before it do not.
 RANK_DELAY_S = 1.5
-# After a return of the store from an older copy, the watchers write back the records
+# After a restore of the store from an older copy, the watchers write back the records
 # that they know: they notice it within the retry interval of their watch, 0.5 s.
-RETURN_GRACE_S = 2.0
+RESTORE_GRACE_S = 2.0
 
 
 class GuardianPorts(ABC):
@@ -286,8 +286,8 @@
     async def _replace_record(
         self, known: KnownRecord, replacement: ReplaceRecord
     ) -> None:
-        return_age_s = self._store.return_age_s
-        if return_age_s is not None and return_age_s < RETURN_GRACE_S:
+        restore_age_s = self._store.restore_age_s
+        if restore_age_s is not None and restore_age_s < RESTORE_GRACE_S:
             return
         value = msgspec.json.encode(replacement.record)
         try:
--- a/celeryfold/groups/record_cache.py
+++ b/celeryfold/groups/record_cache.py
@@ -32,7 +32,7 @@
     """Cache of the group records that this instance has received.
 
     A cached record is replaced only by a record of a higher store revision that is not
-    an earlier version of it: a store that returns from an older copy has earlier
+    an earlier version of it: a store that is restored from an older copy has earlier
     versions under higher revisions.
     """
 
--- a/celeryfold/kernel/revisions.py
+++ b/celeryfold/kernel/revisions.py
@@ -1,9 +1,9 @@
 """Revisions of a store that rise over all its eras.
 
-A store that returns from an older copy gives revisions out again; its era then rises by
-one. A revision here holds the era in its high bits, so that any revision of an era is
-higher than all of earlier eras. In era 0, that of a store without eras, it is the
-number of the store itself.
+A store that is restored from an older copy gives revisions out again; its era then
+rises by one. A revision here holds the era in its high bits, so that any revision of an
+era is higher than all of earlier eras. In era 0, that of a store without eras, it is
+the number of the store itself.
 """
 
 from __future__ import annotations
--- a/celeryfold/platform/store.py
+++ b/celeryfold/platform/store.py
@@ -40,7 +40,7 @@
 CONFLICT = 412
 GONE = 410
 REFUSED = (429, 503)
-# Rises by one each time the store returns from an older copy of its data.
+# Rises by one each time the store is restored from an older copy of its data.
 ERA_HEADER = "store-era"
 
 B = TypeVar("B")
--- a/celeryfold/platform/tests/test_store.py
+++ b/celeryfold/platform/tests/test_store.py
@@ -34,7 +34,7 @@
     return metrics
 
 
-def test_the_return_of_the_store_from_an_older_copy_is_logged(
+def test_a_restore_of_the_store_from_an_older_copy_is_logged(
     caplog: pytest.LogCaptureFixture,
 ):
     """Without this line a loss of changes looks like an outage in the logs."""
--- a/celeryfold/proxy/leases.py
+++ b/celeryfold/proxy/leases.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-__all__ = ["ERA_KEY", "Duty", "DutyLost", "LeaseManager", "LeasesUnsettled"]
+__all__ = ["ERA_KEY", "Duty", "DutyLost", "EraTooRecent", "LeaseManager"]
 
 import logging
 import math
@@ -37,19 +37,19 @@
     """This instance does not hold the duty, or may no longer hold it."""
 
 
-class LeasesUnsettled(DutyLost):
-    """No duty can be taken yet: leases of an earlier era of the store may still run."""
+class EraTooRecent(DutyLost):
+    """The era of the store began too recently: leases of an earlier one may run."""
 
 
 class LeaseManager:
     """Keeps one lease alive while any duty is held.
 
-    A store that has returned from an older copy may no longer have leases that still
+    A store that was restored from an older copy may no longer have leases that still
     run at their holders, and may have keys of earlier holders again. Instances
     therefore wait for one time to live before they take a lease in a new era, and then
     record the era in the store: those that start later need not wait. An instance that
     has not seen an earlier era waits for two, since it knows nothing of the replicas
-    that the returned records lack; others take the vacant duties before it.
+    that the restored records lack; others take the vacant duties before it.
     """
 
     def __init__(self, store: CoordinationStore, clock: Clock) -> None:
@@ -60,7 +60,7 @@
         self._expires_at = -math.inf
         self._acquire_lock = trio.Lock()
         # The era in which no lease of an earlier era runs any more.
-        self._settled_era = 0
+        self._confirmed_era = 0
         # The era of the answer when the recorded era was last read.
         self._recorded_era_read_in = 0
         self.n_duties = 0
@@ -83,17 +83,17 @@
         renewal interval.
 
         :raises StoreUnavailable: if the store grants no lease.
-        :raises LeasesUnsettled: if leases of an earlier era may still run.
+        :raises EraTooRecent: if leases of an earlier era may still run.
         """
         async with self._acquire_lock:
             if self.is_active and (self.n_duties or self._outlasts_renewal_interval()):
                 assert self._lease_id is not None
                 return self._lease_id
-            await self._settle()
+            await self._confirm_era()
             asked_at = self._clock()
             lease = await self._store.grant_lease(LEASE_TTL_S)
-            if self._store.era not in (0, self._settled_era):
-                raise LeasesUnsettled("the store returned from an older copy meanwhile")
+            if self._store.era not in (0, self._confirmed_era):
+                raise EraTooRecent("the store was restored meanwhile")
             self._lease_era = self._store.era
             self._lease_id = lease.lease_id
             self._expires_at = asked_at + lease.ttl_s
@@ -103,29 +103,29 @@
     def must_wait(self) -> bool:
         """Whether leases of an earlier era are known to run for some time yet."""
         era = self._store.era
-        if era in (0, self._settled_era) or self._recorded_era_read_in != era:
+        if era in (0, self._confirmed_era) or self._recorded_era_read_in != era:
             return False
-        wait_s = LEASE_TTL_S if self._store.has_seen_return else 2 * LEASE_TTL_S
+        wait_s = LEASE_TTL_S if self._store.has_seen_restore else 2 * LEASE_TTL_S
         return self._store.era_age_s < wait_s
 
-    async def _settle(self) -> None:
+    async def _confirm_era(self) -> None:
         """Check that leases of earlier eras have expired, and record the era if so.
 
-        :raises LeasesUnsettled: if they may still run.
+        :raises EraTooRecent: if they may still run.
         :raises StoreUnavailable: if the store does not answer.
         """
         if self.must_wait:
-            raise LeasesUnsettled("leases of an earlier era may still run")
-        if self._store.era and self._store.era == self._settled_era:
+            raise EraTooRecent("leases of an earlier era may still run")
+        if self._store.era and self._store.era == self._confirmed_era:
             return
         item = await self._store.get(ERA_KEY)
         era = self._recorded_era_read_in = self._store.era
         value = str(era).encode()
         if era and (item is None or item.value != value):
             if self.must_wait:
-                raise LeasesUnsettled("leases of an earlier era may still run")
+                raise EraTooRecent("leases of an earlier era may still run")
             await self._record_era(item, value)
-        self._settled_era = era
+        self._confirmed_era = era
 
     async def _record_era(self, existing: Item | None, value: bytes) -> None:
         expected = [Expectation(ERA_KEY, existing.revision if existing else 0)]
@@ -248,7 +248,7 @@
 
     @property
     def must_wait(self) -> bool:
-        """Whether the duty cannot be taken yet after a return of the store."""
+        """Whether the duty cannot be taken yet after a restore of the store."""
         return self._lease_manager.must_wait
 
     async def take(self, existing: Item | None) -> None:
--- a/celeryfold/proxy/members.py
+++ b/celeryfold/proxy/members.py
@@ -56,7 +56,7 @@
         self._dropped: set[Member] = set()
         self._in_doubt_since: dict[Member, float] = {}
         # The revision of the list with which a member was dropped. A record that is not
-        # newer than that does not make it a member again: after a return of the store
+        # newer than that does not make it a member again: after a restore of the store
         # from an older copy it may be from before the drop.
         self._dropped_at: dict[Member, int] = {}
         self._last_gap_at = -math.inf
--- a/celeryfold/proxy/ordered_store.py
+++ b/celeryfold/proxy/ordered_store.py
@@ -37,7 +37,7 @@
 
 
 class OrderedStore(CoordinationStore):
-    """Orders the answers of a store that may return from an older copy.
+    """Orders the answers of a store that may be restored from an older copy.
 
     Revisions rise over all eras. What refers to an earlier era fails as if the store
     had refused it: a watch with :class:`HistoryLost`, a condition with
@@ -86,7 +86,7 @@
             if find_era(after) == self.era:
                 changes = tuple(self._order_change(c) for c in found.changes)
                 return Changes(changes, join_revision(self.era, found.as_of))
-        raise HistoryLost("the store has returned from an older copy since")
+        raise HistoryLost("the store was restored from an older copy since")
 
     async def commit(
         self,
@@ -105,15 +105,13 @@
         era = self.era
         for condition in expected:
             if condition.revision and find_era(condition.revision) != era:
-                raise StoreConflict(
-                    f"{condition.key}: the store has returned from an older copy since"
-                )
+                raise StoreConflict(f"{condition.key}: the store was restored since")
         if any(write.lease and write.lease not in self._leases for write in writes):
-            raise LeaseLost("the store has returned from an older copy since its grant")
+            raise LeaseLost("the store was restored since its grant")
         numbered = [Expectation(e.key, find_number(e.revision)) for e in expected]
         number = await self._call(self._store.commit(numbered, writes, deletes))
         if era not in (0, self.era):
-            raise StoreUnavailable("the store returned from an older copy meanwhile")
+            raise StoreUnavailable("the store was restored meanwhile")
         return join_revision(self.era, number)
 
     async def grant_lease(self, ttl_s: float) -> Lease:
@@ -134,7 +132,7 @@
         if lease in self._leases:
             await self._call(self._store.renew_lease(lease))
         if lease not in self._leases:
-            raise LeaseLost("the store has returned from an older copy since its grant")
+            raise LeaseLost("the store was restored since its grant")
 
     async def end_lease(self, lease: LeaseId) -> None:
         """End a lease and remove its keys; one of an earlier era is left to expire."""
@@ -168,7 +166,7 @@
             self._metrics.count("store.restored")
             extra = {"era": era, "previous": self.era}
             log.warning("store restored from an older copy", extra=extra)
-            self.has_seen_return = True
+            self.has_seen_restore = True
         self.era = era
         self._era_seen_at = self._clock()
         self._leases.clear()
--- a/celeryfold/proxy/store.py
+++ b/celeryfold/proxy/store.py
@@ -108,13 +108,13 @@
     """Client of the platform's store, whose calls are counted and billed.
 
     ``era`` is that of the latest answer, 0 before the first one. It rises when the
-    store returns from an older copy of its data: what it has acknowledged since the
+    store is restored from an older copy of its data: what it has acknowledged since the
     copy is lost, and its revisions are given out again.
     """
 
     era: int = 0
     # Whether the era has risen since the first answer.
-    has_seen_return: bool = False
+    has_seen_restore: bool = False
 
     @property
     def era_age_s(self) -> float:
--- a/celeryfold/proxy/tests/test_duty_histories.py
+++ b/celeryfold/proxy/tests/test_duty_histories.py
@@ -1,4 +1,4 @@
-"""Random histories of a duty over outages and returns of the store.
+"""Random histories of a duty over outages and restores of the store.
 
 Three instances compete for one duty. The store is cut off from single instances, is
 copied, returns to the copy and loses answers, and instances restart. At no time do two
@@ -171,9 +171,9 @@
     assert find_violations(events) == []
 
 
-# The returned key names an earlier process of instance 0, while the later holder is cut
+# The restored key names an earlier process of instance 0, while the later holder is cut
 # off from the store and its lease still runs.
-RETURN_BESIDE_A_CUT = [
+RESTORE_BESIDE_A_CUT = [
     ("wait", 0, 20),
     ("copy", 0, 1),
     ("cut", 0, 50),
@@ -187,10 +187,10 @@
 
 
 def omit_wait(monkeypatch: pytest.MonkeyPatch) -> None:
-    async def settle(self: LeaseManager) -> None:
-        self._settled_era = self._store.era
+    async def confirm_era(self: LeaseManager) -> None:
+        self._confirmed_era = self._store.era
 
-    monkeypatch.setattr(leases.LeaseManager, "_settle", settle)
+    monkeypatch.setattr(leases.LeaseManager, "_confirm_era", confirm_era)
     monkeypatch.setattr(leases.LeaseManager, "must_wait", False)
 
 
@@ -206,7 +206,7 @@
         self._target = store
         self.era = 0
         self.era_age_s = 1e9
-        self.has_seen_return = False
+        self.has_seen_restore = False
 
     async def _call(self, waiting):
         return await waiting
@@ -224,6 +224,6 @@
 def test_each_rule_is_needed(
     weaken: Callable[[pytest.MonkeyPatch], None], monkeypatch: pytest.MonkeyPatch
 ):
-    assert find_violations(RETURN_BESIDE_A_CUT) == []
+    assert find_violations(RESTORE_BESIDE_A_CUT) == []
     weaken(monkeypatch)
-    assert find_violations(RETURN_BESIDE_A_CUT)
+    assert find_violations(RESTORE_BESIDE_A_CUT)
--- a/celeryfold/proxy/tests/test_overload_answers.py
+++ b/celeryfold/proxy/tests/test_overload_answers.py
@@ -211,7 +211,7 @@
 
 
 def test_statements_that_end_without_a_reply_are_not_measured():
-    """Fails if statements that hang at a mute upstream have others refused early."""
+    """Fails if statements that hang at an unresponsive upstream refuse others early."""
 
     async def scenario(deployment: SimulatedDeployment) -> None:
         executor = find_home(deployment, PRIMARY)
--- a/celeryfold/proxy/tests/test_restored_store.py
+++ b/celeryfold/proxy/tests/test_restored_store.py
@@ -1,4 +1,4 @@
-"""The store returns from an older copy and has lost what it acknowledged since."""
+"""The store is restored from an older copy and lacks what it acknowledged since."""
 
 from __future__ import annotations
 
@@ -13,8 +13,8 @@
     ERA_KEY,
     LEASE_TTL_S,
     Duty,
+    EraTooRecent,
     LeaseManager,
-    LeasesUnsettled,
 )
 from celeryfold.proxy.store import (
     CoordinationStore,
@@ -35,13 +35,13 @@
 OUTAGE_S = 1.5
 
 
-def run_with_quiet_entries(scenario, n_databases: int = 3) -> SimulatedDeployment:
+def run_with_unchanged_entries(scenario, n_databases: int = 3) -> SimulatedDeployment:
     """Run a scenario in which heartbeats do not raise the store's revision.
 
     They would pass the lost revisions within seconds.
     """
     deployment = SimulatedDeployment(n_databases=n_databases)
-    deployment.has_busy_entries = False
+    deployment.rewrites_unchanged_entries = False
     return run_scenario(scenario, deployment)
 
 
@@ -87,8 +87,8 @@
     return Duty(KEY, InstanceId(name), store, manager, trio.current_time)
 
 
-def test_an_upstream_that_leaves_after_the_return_is_noticed():
-    """Its entry has a lower revision than the last change before the return."""
+def test_an_upstream_that_leaves_after_the_restore_is_noticed():
+    """Its entry has a lower revision than the last change before the restore."""
 
     async def scenario(deployment: SimulatedDeployment) -> None:
         copy = deployment.store.copy()
@@ -101,7 +101,7 @@
         await trio.sleep(4.0)
         assert list_leaving(deployment, UpstreamId("orders-2")) == [True] * 3
 
-    run_with_quiet_entries(scenario)
+    run_with_unchanged_entries(scenario)
 
 
 def test_changes_are_found_once_the_revisions_have_passed_the_old_ones():
@@ -121,10 +121,10 @@
         await trio.sleep(3.5)
         assert list_leaving(deployment, UpstreamId("orders-2")) == [True] * 3
 
-    run_with_quiet_entries(scenario)
+    run_with_unchanged_entries(scenario)
 
 
-def test_a_configuration_of_the_returned_store_is_in_force_within_seconds():
+def test_a_configuration_of_the_restored_store_is_in_force_within_seconds():
     async def scenario(deployment: SimulatedDeployment) -> None:
         copy = deployment.store.copy()
         deployment.publish(5)
@@ -139,10 +139,10 @@
         await trio.sleep(2.5)
         assert list_versions(deployment) == [7, 7, 7]
 
-    run_with_quiet_entries(scenario)
+    run_with_unchanged_entries(scenario)
 
 
-def test_tokens_rise_over_the_return_of_the_store():
+def test_tokens_rise_over_a_restore_of_the_store():
     """A lower token is refused by the platform, and no promotion succeeds."""
 
     async def scenario(store: MemoryStore) -> None:
@@ -191,7 +191,7 @@
         await two.commit([Expectation(KEY, 0)], [ItemWrite(KEY, b"two")])
         with pytest.raises(CeleryfoldError):
             await one.commit([Expectation(KEY, revision)], [ItemWrite(KEY, b"one")])
-        # The first call after the return had to reach the store to learn of it.
+        # The first call after the restore had to reach the store to learn of it.
         assert store.calls["txn"] == 3
 
     run_with_store(scenario)
@@ -199,7 +199,7 @@
 
 @pytest.mark.parametrize("is_restored", [False, True])
 def test_a_replica_that_was_dropped_is_not_required_again(is_restored):
-    """The returned record names a replica that has since been lost for good.
+    """The restored record names a replica that has since been lost for good.
 
     Another replica holds all commits, so the loss of the primary must not wait for it.
     """
@@ -217,13 +217,13 @@
         deployment.store.is_down = False
         await wait_written(deployment, 1, 10.0)
 
-    check_nothing_lost(run_with_quiet_entries(scenario, n_databases=4))
+    check_nothing_lost(run_with_unchanged_entries(scenario, n_databases=4))
 
 
-def test_two_instances_never_hold_a_duty_over_the_return_of_the_store():
-    """The returned key names an instance that had lost the duty before.
+def test_two_instances_never_hold_a_duty_over_a_restore_of_the_store():
+    """The restored key names an instance that had lost the duty before.
 
-    The later holder cannot learn of the return, and its lease still runs.
+    The later holder cannot learn of the restore, and its lease still runs.
     """
 
     async def scenario(deployment: SimulatedDeployment) -> None:
@@ -255,7 +255,7 @@
                     continue
             assert not (again.is_held and later.is_held)
 
-    run_with_quiet_entries(scenario)
+    run_with_unchanged_entries(scenario)
 
 
 def test_a_late_answer_of_an_earlier_era_counts_as_no_answer():
@@ -284,7 +284,7 @@
         assert trio.current_time() - started_at < 0.1
         store.restore(store.copy())
         two = make_duty(store.connect(), "two")
-        with pytest.raises(LeasesUnsettled):
+        with pytest.raises(EraTooRecent):
             await two._lease_manager.acquire()
         assert two.must_wait
         await trio.sleep(LEASE_TTL_S + 0.1)
@@ -299,8 +299,8 @@
     run_with_store(scenario)
 
 
-def test_a_primary_lost_beside_the_return_is_replaced():
-    """Duties are vacant for one lease after the return, not for longer."""
+def test_a_primary_lost_beside_the_restore_is_replaced():
+    """Duties are vacant for one lease after the restore, not for longer."""
 
     async def scenario(deployment: SimulatedDeployment) -> None:
         copy = deployment.store.copy()
@@ -312,7 +312,7 @@
     check_nothing_lost(run_scenario(scenario))
 
 
-def test_no_lease_is_taken_if_the_store_returns_while_it_is_granted():
+def test_no_lease_is_taken_if_the_store_is_restored_while_it_is_granted():
     async def scenario(store: MemoryStore) -> None:
         one = make_duty(store.connect(), "one")
         real_grant = store.grant_lease
@@ -322,20 +322,20 @@
             return await real_grant(ttl_s)
 
         store.grant_lease = grant_lease  # type: ignore[method-assign]
-        with pytest.raises(LeasesUnsettled):
+        with pytest.raises(EraTooRecent):
             await one.take(None)
         assert not one.is_held
 
     run_with_store(scenario)
 
 
-def test_an_instance_without_memory_does_not_guard_first_after_the_return():
+def test_a_started_instance_does_not_guard_first_after_the_restore():
     """Only the instances that ran before know a replica that the record lacks.
 
     The replica was listed after the copy, acknowledged commits alone and is gone.
     """
     deployment = SimulatedDeployment()
-    deployment.has_busy_entries = False
+    deployment.rewrites_unchanged_entries = False
     deployment.unregistered.add(THIRD)
     databases = deployment.replicas.databases
     databases[THIRD].is_replication_cut = True
--- a/celeryfold/proxy/tests/test_store_faults.py
+++ b/celeryfold/proxy/tests/test_store_faults.py
@@ -330,5 +330,5 @@
             assert upstream.is_leaving
 
     deployment = SimulatedDeployment()
-    deployment.has_busy_entries = False
+    deployment.rewrites_unchanged_entries = False
     run_scenario(scenario, deployment)
--- a/celeryfold/soak/departures.py
+++ b/celeryfold/soak/departures.py
@@ -25,7 +25,7 @@
 
 
 class Departures:
-    """Records since when each replica has been leaving while all others were well.
+    """Records since when each replica has been leaving while all others were healthy.
 
     A time in which another database was down, cut off or far behind does not count,
     since reads may need the leaving one then.
@@ -43,7 +43,7 @@
             await trio.sleep(POLL_S)
 
     def record(self, leaving: Iterable[UpstreamId], now: float) -> None:
-        """Record which replicas are leaving now while the others are well."""
+        """Record which replicas are leaving now while the others are healthy."""
         current = set(leaving)
         for name in current:
             self._since.setdefault(name, now)
@@ -80,15 +80,15 @@
 def _list_leaving(deployment: SoakDeployment) -> list[UpstreamId]:
     """Return the replicas registered as leaving.
 
-    Returns none if a database is unwell, or if all are leaving.
+    Returns none if a database is unhealthy, or if all are leaving.
     """
     store, replicas = deployment.standin.store, deployment.standin.replicas
     databases = replicas.databases
-    is_well = all(
+    is_healthy = all(
         d.is_alive and not d.is_replication_cut and d.lag_s <= MAX_LAG_S
         for d in databases.values()
     )
-    if not is_well or any(f.is_disturbed for f in deployment.databases.values()):
+    if not is_healthy or any(f.is_disturbed for f in deployment.databases.values()):
         return []
     registered = {}
     for name in databases:
--- a/celeryfold/soak/faults.py
+++ b/celeryfold/soak/faults.py
@@ -152,7 +152,7 @@
         self.store.compact()
 
 
-class _StoreReturns(Fault):
+class _StoreRestored(Fault):
     """Takes the store away and brings it back as of some time before."""
 
     async def inject(self) -> None:
@@ -228,7 +228,7 @@
 FAULTS.add("store-silent", _StoreSilent)
 FAULTS.add("store-answers-lost", _StoreAnswersLost)
 FAULTS.add("store-forgets", _StoreCompacts)
-FAULTS.add("store-returns", _StoreReturns)
+FAULTS.add("store-restored", _StoreRestored)
 FAULTS.add("crash", _Crash)
 FAULTS.add("deaf", _CutReplication)
 FAULTS.add("lag", _Lag)
--- a/celeryfold/soak/tests/test_soak.py
+++ b/celeryfold/soak/tests/test_soak.py
@@ -27,8 +27,8 @@
     assert report.injected
 
 
-class _Return(Fault):
-    """Lets replicas leave before and after a return of the store.
+class _Restore(Fault):
+    """Lets replicas leave before and after a restore of the store.
 
     The revisions of the second departure are far below those of the first.
     """
@@ -59,17 +59,19 @@
     database.upstream = msgspec.structs.replace(database.upstream, is_leaving=True)
 
 
-def test_processes_notice_departures_after_a_return_of_the_store(tmp_path, monkeypatch):
+def test_processes_notice_departures_after_a_restore_of_the_store(
+    tmp_path, monkeypatch
+):
     """The random runs seldom lose enough revisions to show this fault."""
-    monkeypatch.setattr(FaultSchedule, "run", run_return_once)
+    monkeypatch.setattr(FaultSchedule, "run", run_restore_once)
     settings = SoakSettings(n_instances=2, n_clients=8, seconds=18.0, settle_s=0.0)
     report = run_soak(1, settings, tmp_path)
     assert not report.broken
     assert report.n_succeeded > 0
 
 
-async def run_return_once(self: FaultSchedule, nursery: trio.Nursery) -> None:
-    await _Return(self._deployment, self._rng).inject()
+async def run_restore_once(self: FaultSchedule, nursery: trio.Nursery) -> None:
+    await _Restore(self._deployment, self._rng).inject()
 
 
 def test_all_wrong_options_are_reported_at_once():
--- a/celeryfold/standins/deployment.py
+++ b/celeryfold/standins/deployment.py
@@ -134,7 +134,7 @@
         # Running databases whose registration does not reach the store.
         self.unregistered: set[UpstreamId] = set()
         # Whether each heartbeat writes the entry, also if nothing else has changed.
-        self.has_busy_entries = True
+        self.rewrites_unchanged_entries = True
         self._n_instances = n_instances
         self._n_requests = 0
         self._scopes: dict[InstanceId, trio.CancelScope] = {}
@@ -178,7 +178,7 @@
                     database.upstream, claimed_role=database.role
                 )
                 value = msgspec.json.encode(upstream)
-                if self.has_busy_entries:
+                if self.rewrites_unchanged_entries:
                     self.store.write(key, value)
                 else:
                     self.store.write_if_changed(key, value)
--- a/celeryfold/standins/store.py
+++ b/celeryfold/standins/store.py
@@ -24,7 +24,7 @@
 class StoreEngine:
     """A key-value store that counts its calls by kind.
 
-    ``era`` rises with each return to an older copy.
+    ``era`` rises with each restore from an older copy.
     """
 
     def __init__(self) -> None:
