Review case 3: a restarted holder forgets a replica that acknowledges commits

Claim: a holder of the duty that was restarted knows a replica that is cut off from the store by the record of the former holder only, without an address. It cannot ask it, takes that for no answer and drops it from the members. When the primary crashes, a replica is promoted that lacks acknowledged commits (LOST).

Shown by review/3/run.sh: a replica is cut off from the store for 5 s, the holder's process is killed and restarted, and the primary crashes.

--- a/review/harness/databases.py
+++ b/review/harness/databases.py
@@ -165,12 +165,33 @@
     def __init__(self, service: str, record: Callable[[str], None]) -> None:
         super().__init__(service)
         self.replicas: LinkedReplicas = LinkedReplicas(ServiceId(service), record)
+        # Databases that cannot reach the store; everything else reaches them.
+        self.cut_from_store: set[UpstreamId] = set()
         self._record = record
 
-    async def crash_for(self, upstream_id: UpstreamId, seconds: float) -> None:
+    def _write_entry(self, key: str, entry: dict[str, object]) -> None:
+        if key.removeprefix("servers/") not in self.cut_from_store:
+            super()._write_entry(key, entry)
+
+    async def cut_for(self, upstream_id: UpstreamId, seconds: float) -> None:
+        """Cut a database off from the store; its entry expires meanwhile."""
+        self.cut_from_store.add(upstream_id)
+        self._record(f"databases: {upstream_id} is cut off from the store")
+        with trio.move_on_after(seconds):
+            await trio.sleep(standins.ENTRY_EXPIRY_S)
+            self.store.delete(f"servers/{upstream_id}")
+            self._record(f"store: the entry of {upstream_id} has expired")
+            await trio.sleep_forever()
+        self.cut_from_store.discard(upstream_id)
+        self._record(f"databases: {upstream_id} reaches the store again")
+
+    async def crash_for(
+        self, upstream_id: UpstreamId, seconds: float, is_dark: bool = True
+    ) -> None:
         """Crash a database without a word; it comes back with its log."""
-        self.replicas.crash(upstream_id, is_silent=True)
-        self._record(f"databases: {upstream_id} is dark")
+        self.replicas.crash(upstream_id, is_silent=is_dark)
+        how = "dark" if is_dark else "down"
+        self._record(f"databases: {upstream_id} is {how}")
         await trio.sleep(seconds)
         self.replicas.restart(upstream_id)
         role = self.replicas.databases[upstream_id].role.value
--- a/review/harness/deployment.py
+++ b/review/harness/deployment.py
@@ -268,8 +268,11 @@
 ) -> None:
     """Write again and again; open a new session after each failure.
 
+    :param interval_s: mean pause between two writes.
     :param acked: receives when each acknowledged write was answered.
     """
+    rng = random.Random(number)
+    await trio.sleep(rng.uniform(0.0, interval_s))
     instance = deployment.instances[number % len(deployment.instances)]
     name = f"client {number}"
     n_written = 0
@@ -284,7 +287,7 @@
                 n_written += 1
                 request_id, _ = await session.ask(f"WRITE c{number} v{n_written}")
                 acked[request_id] = trio.current_time()
-                await trio.sleep(interval_s)
+                await trio.sleep(rng.uniform(0.5, 1.5) * interval_s)
         except (OSError, Refused, trio.BrokenResourceError):
             await session.close()
             await trio.sleep(0.05)
