--- a/review/harness/databases.py
+++ b/review/harness/databases.py
@@ -179,8 +179,9 @@
         self._record(f"databases: {upstream_id} is cut off from the store")
         with trio.move_on_after(seconds):
             await trio.sleep(standins.ENTRY_EXPIRY_S)
-            self.store.delete(f"servers/{upstream_id}")
-            self._record(f"store: the entry of {upstream_id} has expired")
+            if f"servers/{upstream_id}" in self.store.items:
+                self.store.delete(f"servers/{upstream_id}")
+                self._record(f"store: the entry of {upstream_id} has expired")
             await trio.sleep_forever()
         self.cut_from_store.discard(upstream_id)
         self._record(f"databases: {upstream_id} reaches the store again")
