--- a/review/1/case.py
+++ b/review/1/case.py
@@ -14,7 +14,7 @@
 # Few users at first, then the usual number.
 N_EARLY_WRITERS = 1
 EARLY_WRITE_INTERVAL_S = 0.5
-N_WRITERS = 6
+N_WRITERS = 10
 WRITE_INTERVAL_S = 0.04
 # A crash of a database lasts up to 7 s on the site.
 CRASH_S = 3.0
