Use one fencing token for the promotion of one upstream only

The platform had left the first promotion call unanswered. Its repetition succeeded, another upstream was promoted later with the same token, and then the first call was carried out: its token was not lower than any seen.

Cause: the guardian took a newer token only if the last attempt had not ended. Once a repeated call had succeeded, it forgot the unanswered one, which named another upstream under the token that was still in use. Ruled out by the record of the script: a second holder (all calls carry one holder), and a wrong choice (no commit is missing at either of the two ordinary promotions, only at the late one).

Change: a token names one upstream. Another one is promoted with a newer token, so that the platform refuses each earlier call from then on. The stand-in can carry out a call late.

Result: test_a_late_promotion_does_not_depose_a_primary_promoted_after_it failed before ('orders-2' == 'orders-1', the late call had deposed orders-1) and passes.

--- a/celeryfold/proxy/guardian.py
+++ b/celeryfold/proxy/guardian.py
@@ -23,6 +23,7 @@
 from .members import AckSet, Member, choose_caught_up, choose_successor
 from .peers import PeerTable
 from .positions import LogPosition
+from .promotion_calls import PromotionCalls
 from .promotions import PromotionRefused, Promotions, PromotionUnanswered
 from .samples import Sample, SampleHistory
 from .store import CoordinationStore
@@ -107,7 +108,7 @@
         self._started_at = ports.clock()
         self._vacant_since = math.inf
         self._act_after = math.inf
-        self._promotion_target: Member | None = None
+        self._calls = PromotionCalls()
 
     @property
     def is_on_duty(self) -> bool:
@@ -422,15 +423,15 @@
             restarts receives entries again and may acknowledge commits that the chosen
             member lacks, so the attempt ends.
         """
-        if self._promotion_target not in (None, chosen):
+        if self._calls.needs_newer_token(
+            self._duty.require_token(), chosen.upstream_id
+        ):
             await self._duty.renew_token()
-        self._promotion_target = chosen
         for _ in range(N_PROMOTION_ATTEMPTS):
             if not self._controls.are_open(paused):
                 return
             wait_s = await self._request_promotion(chosen, term)
             if await self._wait_until_leader(chosen, wait_s):
-                self._promotion_target = None
                 extra = {"service": self.service, "upstream": chosen.upstream_id}
                 log.info("primary changed", extra=extra)
                 await self._controls.resume_all()
@@ -452,6 +453,7 @@
             "token": token,
         }
         log.info("promotion ordered", extra=extra)
+        self._calls.record_sent(token, chosen.upstream_id)
         self._ports.metrics.count("failover.ordered")
         try:
             await self._ports.promotions.promote(
--- a/celeryfold/standins/replicas.py
+++ b/celeryfold/standins/replicas.py
@@ -33,6 +33,9 @@
 from .database import Database, Entry, StatementRun
 from .replica_session import ReplicaSession
 
+# A caller learns after this time that its promotion call gets no answer.
+LOST_ANSWER_S = 1.0
+
 
 class ReplicaSet(Connector, Promotions):
     """The primary and the replicas of one service, with faults set by attributes.
@@ -67,6 +70,9 @@
         # Errors of the next statements that set up a session, one for each.
         self.setup_errors: list[ErrorKind] = []
         self.n_promotions_to_lose = 0
+        # Seconds after which each of the next promotion calls is carried out, without
+        # an answer.
+        self.promotion_lateness_s: list[float] = []
         self.highest_token = 0
         self.databases: dict[UpstreamId, Database] = {}
         self._nursery: trio.Nursery | None = None
@@ -253,6 +259,13 @@
         self, service: ServiceId, upstream: UpstreamId, holder: InstanceId, token: int
     ) -> None:
         """Promote a database; see :class:`Promotions`."""
+        assert self._nursery is not None
+        if self.promotion_lateness_s:
+            late_s = self.promotion_lateness_s.pop(0)
+            call = (service, upstream, holder, token)
+            self._nursery.start_soon(self._promote_later, late_s, *call)
+            await trio.sleep(LOST_ANSWER_S)
+            raise PromotionUnanswered("the call waits at the platform")
         self.promotions.append((trio.current_time(), holder, token, upstream))
         if token < self.highest_token:
             raise PromotionRefused("the fencing token is older than one already used")
@@ -260,14 +273,29 @@
         database = self.databases[upstream]
         if not database.is_alive:
             raise PromotionRefused("the database is not running")
-        assert self._nursery is not None
         if self.find_leader() is not database:
             self._nursery.start_soon(self._complete_promotion, database)
         if self.n_promotions_to_lose:
             self.n_promotions_to_lose -= 1
-            await trio.sleep(1.0)
+            await trio.sleep(LOST_ANSWER_S)
             raise PromotionUnanswered("the response was lost")
 
+    async def _promote_later(
+        self,
+        late_s: float,
+        service: ServiceId,
+        upstream: UpstreamId,
+        holder: InstanceId,
+        token: int,
+    ) -> None:
+        """Carry out a call whose caller has no answer; its token is checked now."""
+        await trio.sleep(late_s)
+        try:
+            await self.promote(service, upstream, holder, token)
+        except (PromotionRefused, PromotionUnanswered):
+            # Nobody waits for the answer.
+            return
+
     async def _complete_promotion(self, database: Database) -> None:
         await trio.sleep(self.promotion_delay_s)
         if not database.is_alive:
