Keep a primary that was promoted before it is listed again

What callers saw: a second failover, about a second after the first one, and refused writes meanwhile.

Cause: only listed upstreams are sampled regularly. A replica that came back and was promoted at once is listed a heartbeat later; until then the one sample of the guardian grew older than 0.9 s, and the guardian suspected a primary that nobody had asked. Seen in the log of test_a_replica_that_may_hold_the_only_copy_is_waited_for, which depended on the time that the steps of the guardian take.

Change: for 2.5 s after a promotion the guardian asks an unlisted primary itself.

--- a/celeryfold/proxy/control_book.py
+++ b/celeryfold/proxy/control_book.py
@@ -56,6 +56,11 @@
         """Return all members except those of one upstream."""
         return [member for member in self._controls if member.upstream_id != excluded]
 
+    def find_member(self, upstream_id: UpstreamId) -> Member | None:
+        """Return the latest incarnation of an upstream, or None if it is not known."""
+        found = [m for m in self._controls if m.upstream_id == upstream_id]
+        return max(found, default=None)
+
     def are_open(self, members: Iterable[Member]) -> bool:
         """Return whether every member still has its connection open.
 
--- a/celeryfold/proxy/guardian.py
+++ b/celeryfold/proxy/guardian.py
@@ -109,6 +109,7 @@
         self._vacant_since = math.inf
         self._act_after = math.inf
         self._calls = PromotionCalls()
+        self._promoted_at = -math.inf
 
     @property
     def is_on_duty(self) -> bool:
@@ -155,6 +156,8 @@
             if self._clock() - self._started_at > FIRST_PRIMARY_TIMEOUT_S:
                 await self._verify_and_fail_over(None)
             return
+        if await self._is_new_primary_leading(newest):
+            return
         age_s = self._clock() - newest.taken_at
         if age_s > PRIMARY_TIMEOUT_S or await self._is_primary_refusing(newest):
             await self._verify_and_fail_over(newest)
@@ -272,6 +275,21 @@
         for member in dropped:
             await self._controls.drop(member)
 
+    async def _is_new_primary_leading(self, newest: Sample) -> bool:
+        """Return whether a sample is overdue and a new, unlisted primary still leads.
+
+        Only listed upstreams are sampled regularly. A replica that was promoted right
+        after it came back is listed a moment later.
+        """
+        is_new = self._clock() - self._promoted_at < MISSING_GRACE_S
+        is_overdue = self._clock() - newest.taken_at > SAMPLE_OVERDUE_S
+        if not is_new or not is_overdue:
+            return False
+        if self._ports.directory.find(newest.upstream) is not None:
+            return False
+        member = self._controls.find_member(newest.upstream)
+        return member is not None and await self._sample_if_leader(member)
+
     async def _is_primary_refusing(self, newest: Sample) -> bool:
         """Return whether a sample is overdue and the primary refuses connections."""
         if self._clock() - newest.taken_at < SAMPLE_OVERDUE_S:
@@ -434,6 +452,7 @@
             if await self._wait_until_leader(chosen, wait_s):
                 extra = {"service": self.service, "upstream": chosen.upstream_id}
                 log.info("primary changed", extra=extra)
+                self._promoted_at = self._clock()
                 await self._controls.resume_all()
                 return
 
--- a/celeryfold/proxy/tests/test_failover.py
+++ b/celeryfold/proxy/tests/test_failover.py
@@ -470,3 +470,27 @@
         await wait_written(deployment, 1, 10.0)
 
     check_nothing_lost(run_scenario(scenario))
+
+
+# Guards against a second failover while the new primary is not listed again yet.
+def test_a_replica_promoted_before_it_is_listed_again_stays_primary():
+    async def scenario(deployment: SimulatedDeployment) -> None:
+        deployment.replicas.databases[SECOND].is_replication_cut = True
+        session = deployment.open_session(0, PRIMARY)
+        await deployment.run(session, Write("a 1"))
+        deployment.replicas.crash(THIRD)
+        deployment.replicas.crash(FIRST)
+        await trio.sleep(8.0)
+        deployment.replicas.databases[SECOND].is_replication_cut = False
+        deployment.unregistered.add(THIRD)
+        deployment.replicas.restart(THIRD)
+        while find_leader_id(deployment) != THIRD:
+            await trio.sleep(0.05)
+        await trio.sleep(1.0)
+        deployment.unregistered.clear()
+        await wait_written(deployment, 1, 10.0)
+        assert find_leader_id(deployment) == THIRD
+
+    deployment = run_scenario(scenario)
+    check_nothing_lost(deployment)
+    assert len(deployment.replicas.promotions) == 1
