Settle open promotion calls before the former primary goes on

What callers saw: acknowledged writes vanished up to 12 s after a primary had come back from a short silence.

Cause: a guardian that had sent a promotion call without an answer, or that followed a holder which had, let replicas receive again as soon as the former primary was found. The call was carried out later, with the highest token that the platform had seen, and promoted a replica without the commits acknowledged meanwhile.

Change: PromotionCalls tracks which upstreams open calls may name, and the record of the duty tells the next holder whether all of them are settled. Until they are, replicas stay paused, and the guardian requests the promotion of the primary itself with its own token. That changes nothing, but its answer shows that older tokens are refused. It then waits for as long as a call accepted before may take. A new primary counts as settled once one of its calls was answered; an unreadable record as not settled.

--- a/celeryfold/proxy/duty_record.py
+++ b/celeryfold/proxy/duty_record.py
@@ -5,7 +5,6 @@
 __all__ = ["DutyRecord", "DutyRecordStore"]
 
 import logging
-from collections.abc import Iterable
 
 import msgspec
 
@@ -24,15 +23,21 @@
     :param turn_of: the instance that may have requested a promotion within the last
         lease, or empty.
     :param as_of: the revision of the list of upstreams that the holder had seen.
+    :param is_settled: whether no promotion call that was sent can depose the primary
+        any more. Records of earlier versions do not tell.
     """
 
     members: tuple[Member, ...] = ()
     turn_of: str = ""
     as_of: int | None = None
+    is_settled: bool = False
 
     def is_equivalent(self, other: DutyRecord) -> bool:
         """Return whether another record differs at most in its revision."""
-        return (self.members, self.turn_of) == (other.members, other.turn_of)
+        return msgspec.structs.replace(self, as_of=other.as_of) == other
+
+
+NO_RECORD = DutyRecord(is_settled=True)
 
 
 class DutyRecordStore:
@@ -46,17 +51,20 @@
         self._duty = duty
         self._store = store
         self._revision = 0
-        self.record = DutyRecord()
+        self.record = NO_RECORD
 
     async def read(self) -> DutyRecord:
         """Return the stored record, or an empty one if it is absent or unreadable.
 
+        An unreadable one may hide a promotion call that is still open.
+
         :raises StoreUnavailable: if the store does not answer.
         """
         item = await self._store.get(self._key)
-        self.record = DutyRecord()
+        self.record = NO_RECORD
         self._revision = item.revision if item is not None else 0
         if item is not None:
+            self.record = DutyRecord()
             try:
                 self.record = msgspec.json.decode(item.value, type=DutyRecord)
             except msgspec.DecodeError as error:
@@ -64,23 +72,20 @@
                 log.error("unreadable duty record", extra=extra)
         return self.record
 
-    async def update(self, members: Iterable[Member], turn_of: str, as_of: int) -> None:
+    async def update(self, record: DutyRecord) -> None:
         """Write the record if more than its revision has changed.
 
         :raises CeleryfoldError: if the record may not have been written.
         """
-        record = DutyRecord(tuple(sorted(members)), turn_of, as_of)
         if not record.is_equivalent(self.record):
             await self._commit(record)
 
-    async def confirm(
-        self, members: Iterable[Member], turn_of: str, as_of: int
-    ) -> None:
+    async def confirm(self, record: DutyRecord) -> None:
         """Write the record even if unchanged, so that the store confirms the duty.
 
         :raises CeleryfoldError: if the store did not confirm it.
         """
-        await self._commit(DutyRecord(tuple(sorted(members)), turn_of, as_of))
+        await self._commit(record)
 
     async def _commit(self, record: DutyRecord) -> None:
         expected = [self._duty.expect(), Expectation(self._key, self._revision)]
--- a/celeryfold/proxy/guardian.py
+++ b/celeryfold/proxy/guardian.py
@@ -18,7 +18,7 @@
 from .clock import Clock
 from .control_book import ControlConnections
 from .directory import MISSING_GRACE_S, Directory
-from .duty_record import DutyRecordStore
+from .duty_record import DutyRecord, DutyRecordStore
 from .leases import LEASE_TTL_S, Duty, DutyLost
 from .members import AckSet, Member, choose_caught_up, choose_successor
 from .peers import PeerTable
@@ -51,6 +51,8 @@
 # Delay before an unanswered promotion is requested again; the first request may still
 # take effect.
 PROMOTION_RETRY_S = 0.25
+# Interval at which open promotion calls are settled while the platform does not answer.
+SETTLE_INTERVAL_S = 1.0
 # Time for a replica to receive the remaining entries of a demoted primary.
 CATCH_UP_TIMEOUT_S = 1.0
 CATCH_UP_POLL_S = 0.05
@@ -109,6 +111,7 @@
         self._vacant_since = math.inf
         self._act_after = math.inf
         self._calls = PromotionCalls()
+        self._settled_at = -math.inf
         self._promoted_at = -math.inf
 
     @property
@@ -147,11 +150,8 @@
             return
         if self._is_key_unconfirmed():
             await self._duty.verify()
-        is_attempt_open = self._clock() - self._attempt_at < LEASE_TTL_S
-        attempt_by = self._ports.me if is_attempt_open else ""
-        revision = self._ports.directory.listing.revision
-        await self._record.update(self._ack_set.members, attempt_by, revision)
         newest = self._ports.samples.newest(self.service)
+        await self._update_record(newest)
         if newest is None:
             if self._clock() - self._started_at > FIRST_PRIMARY_TIMEOUT_S:
                 await self._verify_and_fail_over(None)
@@ -162,6 +162,8 @@
         if age_s > PRIMARY_TIMEOUT_S or await self._is_primary_refusing(newest):
             await self._verify_and_fail_over(newest)
             return
+        if not await self._settle_calls(newest):
+            return
         # After the check of the primary, since an upstream that does not answer takes
         # up the whole time-out of a connection attempt.
         await self._controls.open_all()
@@ -171,6 +173,20 @@
         if leader is not None and leader.is_leaving:
             await self._hand_over(leader, newest)
 
+    async def _update_record(self, newest: Sample | None) -> None:
+        """Write the record for the next holder if it has changed."""
+        is_attempt_open = self._clock() - self._attempt_at < LEASE_TTL_S
+        attempt_by = self._ports.me if is_attempt_open else ""
+        is_settled = self._record.record.is_settled
+        if newest is not None and self._clock() - newest.taken_at <= PRIMARY_TIMEOUT_S:
+            is_settled = not self._calls.may_depose(newest.upstream)
+        await self._record.update(self._make_record(attempt_by, is_settled))
+
+    def _make_record(self, turn_of: str, is_settled: bool) -> DutyRecord:
+        members = tuple(sorted(self._ack_set.members))
+        revision = self._ports.directory.listing.revision
+        return DutyRecord(members, turn_of, revision, is_settled)
+
     def _is_key_unconfirmed(self) -> bool:
         """Return whether the connected store watch shows no own key of the duty."""
         watcher = self._ports.watcher
@@ -242,6 +258,7 @@
             await self._controls.drop(member)
         is_attempt_open = record.turn_of not in ("", self._ports.me)
         self._act_after = now + LEASE_TTL_S if is_attempt_open else now
+        self._calls.restore(record.is_settled)
         self._controls.assume_all_paused()
 
     async def _begin_attempt(self) -> None:
@@ -256,8 +273,7 @@
         await self._ports.watcher.read_upstreams()
         self._refresh()
         self._attempt_at = self._clock()
-        revision = self._ports.directory.listing.revision
-        await self._record.confirm(self._ack_set.members, self._ports.me, revision)
+        await self._record.confirm(self._make_record(self._ports.me, is_settled=False))
 
     async def _drop_covered_members(self, newest: Sample) -> None:
         """Drop missing members whose acknowledged commits another replica holds."""
@@ -432,6 +448,35 @@
                 await trio.sleep(CATCH_UP_POLL_S)
         return None
 
+    async def _settle_calls(self, newest: Sample) -> bool:
+        """Have the platform refuse the open calls that could depose the primary.
+
+        A call that names the primary itself changes nothing, but its answer shows that
+        older tokens are refused from now on. Replicas stay paused until then: an open
+        call would promote one without the commits that others acknowledge meanwhile.
+
+        :returns: whether no open call can depose the primary any more.
+        """
+        primary = self._controls.find_member(newest.upstream)
+        if not self._calls.may_depose(newest.upstream):
+            # A call that was accepted before may take this long to take effect.
+            return self._clock() - self._settled_at > PROMOTION_TIMEOUT_S
+        is_due = self._clock() - self._attempt_at > SETTLE_INTERVAL_S
+        if primary is None or not is_due or not await self._sample_if_leader(primary):
+            return False
+        self._log_attempt("primary confirmed at the platform", newest)
+        await self._begin_attempt()
+        await self._take_token_for(primary)
+        await self._request_promotion(primary, newest.position.term)
+        self._settled_at = self._clock()
+        return False
+
+    async def _take_token_for(self, chosen: Member) -> None:
+        """Take a newer token if the present one has named another upstream."""
+        token = self._duty.require_token()
+        if self._calls.needs_newer_token(token, chosen.upstream_id):
+            await self._duty.renew_token()
+
     async def _promote(
         self, chosen: Member, term: Term, paused: Collection[Member]
     ) -> None:
@@ -441,15 +486,13 @@
             restarts receives entries again and may acknowledge commits that the chosen
             member lacks, so the attempt ends.
         """
-        if self._calls.needs_newer_token(
-            self._duty.require_token(), chosen.upstream_id
-        ):
-            await self._duty.renew_token()
+        await self._take_token_for(chosen)
         for _ in range(N_PROMOTION_ATTEMPTS):
             if not self._controls.are_open(paused):
                 return
             wait_s = await self._request_promotion(chosen, term)
-            if await self._wait_until_leader(chosen, wait_s):
+            is_leader = await self._wait_until_leader(chosen, wait_s)
+            if is_leader and not self._calls.may_depose(chosen.upstream_id):
                 extra = {"service": self.service, "upstream": chosen.upstream_id}
                 log.info("primary changed", extra=extra)
                 self._promoted_at = self._clock()
@@ -484,6 +527,7 @@
         except PromotionUnanswered as error:
             log.warning("promotion unanswered", extra={**extra, "reason": str(error)})
             return PROMOTION_RETRY_S
+        self._calls.record_answered(chosen.upstream_id)
         return PROMOTION_TIMEOUT_S
 
     async def _wait_until_leader(self, chosen: Member, wait_s: float) -> bool:
--- a/celeryfold/proxy/promotion_calls.py
+++ b/celeryfold/proxy/promotion_calls.py
@@ -8,16 +8,29 @@
 
 
 class PromotionCalls:
-    """The promotion calls that the holder of a duty has sent.
+    """The promotion calls of a service that may still be carried out.
 
     A call without an answer may be carried out much later, and it is accepted as long
-    as no newer token has been used. Each token therefore names one upstream only: the
-    promotion of another one makes the platform refuse all earlier calls.
+    as no newer token has been used. Each token therefore names one upstream only, and
+    an answer makes certain that the platform refuses all calls with older tokens.
     """
 
     def __init__(self) -> None:
         self._token = 0
         self._target: UpstreamId | None = None
+        # The upstreams that open calls may name, or None if they are not known.
+        self._named: frozenset[UpstreamId] | None = frozenset()
+
+    def restore(self, is_settled: bool) -> None:
+        """Apply the record of the previous holder of the duty.
+
+        :param is_settled: whether none of its calls can depose the primary any more.
+        """
+        self._named = frozenset() if is_settled else None
+
+    def may_depose(self, primary: UpstreamId) -> bool:
+        """Return whether an open call may name an upstream other than the primary."""
+        return self._named is None or bool(self._named - {primary})
 
     def needs_newer_token(self, token: int, target: UpstreamId) -> bool:
         """Return whether a call with this token has named another upstream.
@@ -31,3 +44,9 @@
         """Record a call before it is sent."""
         self._token = token
         self._target = target
+        if self._named is not None:
+            self._named |= {target}
+
+    def record_answered(self, target: UpstreamId) -> None:
+        """Record that the platform has accepted the latest call."""
+        self._named = frozenset((target,))
--- a/celeryfold/proxy/tests/test_late_promotions.py
+++ b/celeryfold/proxy/tests/test_late_promotions.py
@@ -5,6 +5,7 @@
 import trio
 
 from celeryfold.kernel.ids import UpstreamId
+from celeryfold.proxy.guardian import N_PROMOTION_ATTEMPTS
 from celeryfold.proxy.routes import Consistency
 from celeryfold.proxy.statements import Write
 from celeryfold.standins.deployment import SimulatedDeployment
@@ -54,3 +55,62 @@
         assert find_leader_id(deployment) == second_choice
 
     check_nothing_lost(run_scenario(scenario))
+
+
+async def wait_unanswered(deployment: SimulatedDeployment) -> None:
+    """Wait until a promotion call waits at the platform."""
+    n_before = len(deployment.replicas.promotion_lateness_s)
+    while len(deployment.replicas.promotion_lateness_s) == n_before:
+        await trio.sleep(0.05)
+
+
+# Guards against a dead holder's promotion that takes effect under the next holder.
+def test_a_dead_holders_promotion_does_not_depose_the_primary_that_is_back():
+    async def scenario(deployment: SimulatedDeployment) -> None:
+        deployment.replicas.promotion_lateness_s = [11.0]
+        deployment.replicas.crash(FIRST, is_silent=True)
+        await wait_unanswered(deployment)
+        guardian = deployment.find_guardian()
+        assert guardian is not None
+        deployment.kill(guardian)
+        await trio.sleep(2.0)
+        deployment.replicas.restart(FIRST)
+        other = (guardian + 1) % 3
+        await wait_written(deployment, other, 15.0)
+        await write_without(deployment, THIRD, other)
+        await trio.sleep(12.0)
+        assert find_leader_id(deployment) == FIRST
+
+    check_nothing_lost(run_scenario(scenario))
+
+
+# Guards against a holder that goes back to the former primary with a call still open.
+def test_an_open_promotion_does_not_depose_the_primary_that_is_back():
+    async def scenario(deployment: SimulatedDeployment) -> None:
+        deployment.replicas.promotion_lateness_s = [20.0] * N_PROMOTION_ATTEMPTS
+        deployment.replicas.crash(FIRST, is_silent=True)
+        while deployment.replicas.promotion_lateness_s:
+            await trio.sleep(0.05)
+        deployment.replicas.restart(FIRST)
+        await wait_written(deployment, 1, 15.0)
+        leader = find_leader_id(deployment)
+        deaf = THIRD if leader == FIRST else FIRST
+        await write_without(deployment, deaf, 1)
+        await trio.sleep(20.0)
+        assert find_leader_id(deployment) == leader
+
+    check_nothing_lost(run_scenario(scenario))
+
+
+# Guards against paused replicas that stay so because the platform does not answer.
+def test_writes_go_on_once_the_platform_answers():
+    async def scenario(deployment: SimulatedDeployment) -> None:
+        deployment.replicas.promotion_lateness_s = [30.0] * 1000
+        deployment.replicas.crash(FIRST, is_silent=True)
+        await trio.sleep(3.0)
+        deployment.replicas.restart(FIRST)
+        await trio.sleep(10.0)
+        deployment.replicas.promotion_lateness_s.clear()
+        assert await wait_written(deployment, 1, 12.0) < 6.0
+
+    check_nothing_lost(run_scenario(scenario))
