Write the duty's record again after a write without an answer

What callers could see: a promotion without a replica that acknowledged commits, after the holder had died.

Cause: a write of the record that got no answer may be applied later, as long as the record has not changed. The holder took the record for as it was when read back. Where it then found nothing to write, the late write removed a member that had come back.

Change: after a write without an answer the next record is written even if it is equal. Its new revision makes the store refuse the late one.

Result: test_a_late_write_does_not_undo_the_record failed before (the record lacked the second member) and passes.

--- a/celeryfold/proxy/duty_record.py
+++ b/celeryfold/proxy/duty_record.py
@@ -11,7 +11,13 @@
 from ..exceptions import CeleryfoldError
 from .leases import Duty
 from .members import Member
-from .store import CoordinationStore, Expectation, ItemWrite
+from .store import (
+    CoordinationStore,
+    Expectation,
+    ItemWrite,
+    StoreRefused,
+    StoreUnavailable,
+)
 
 log = logging.getLogger(__name__)
 
@@ -51,6 +57,9 @@
         self._duty = duty
         self._store = store
         self._revision = 0
+        # Whether a write without an answer may still be applied. It cannot be any more
+        # once the record has another revision.
+        self._may_be_overwritten = False
         self.record = NO_RECORD
 
     async def read(self) -> DutyRecord:
@@ -77,7 +86,7 @@
 
         :raises CeleryfoldError: if the record may not have been written.
         """
-        if not record.is_equivalent(self.record):
+        if self._may_be_overwritten or not record.is_equivalent(self.record):
             await self._commit(record)
 
     async def confirm(self, record: DutyRecord) -> None:
@@ -92,8 +101,12 @@
         write = ItemWrite(self._key, msgspec.json.encode(record))
         try:
             self._revision = await self._store.commit(expected, [write])
-        except CeleryfoldError:
+        except CeleryfoldError as error:
+            is_refused = isinstance(error, StoreRefused)
+            if isinstance(error, StoreUnavailable) and not is_refused:
+                self._may_be_overwritten = True
             await self.read()
             await self._duty.verify()
             raise
         self.record = record
+        self._may_be_overwritten = False
