Check the duty right before members are paused, resumed or demoted

What callers could see: acknowledged writes missing after a promotion.

Cause: the guardian checks its duty at the start of a step. A process that is suspended in between, or waits for a connection, goes on after another holder has begun its own attempt, and could let replicas receive again that the next holder has paused.

Change: the control connection checks the duty after it is open, right before such a statement is sent. What remains is a suspension between this check and the send call.

--- a/celeryfold/proxy/control.py
+++ b/celeryfold/proxy/control.py
@@ -4,6 +4,8 @@
 
 __all__ = ["ControlConnection", "ControlFailed"]
 
+from collections.abc import Callable
+
 import trio
 
 from ..accounts import NO_ACCOUNT
@@ -48,11 +50,21 @@
 
 
 class ControlConnection:
-    """A connection for control statements to one upstream, opened on demand."""
+    """A connection for control statements to one upstream, opened on demand.
+
+    :param require_duty: raises an error if this instance may have lost the duty. It is
+        called right before each statement that changes the upstream.
+    """
 
-    def __init__(self, upstream: Upstream, connector: Connector) -> None:
+    def __init__(
+        self,
+        upstream: Upstream,
+        connector: Connector,
+        require_duty: Callable[[], object],
+    ) -> None:
         self.upstream = upstream
         self._connector = connector
+        self._require_duty = require_duty
         self._connection: UpstreamConnection | None = None
         self._lock = trio.Lock()
 
@@ -90,6 +102,7 @@
         """Pause replication on a replica and return its status.
 
         :raises ControlFailed: if it does not confirm; it may be paused.
+        :raises DutyLost: if the duty may have passed to another holder.
         """
         return await self._execute_for_status(Pause(term))
 
@@ -97,6 +110,7 @@
         """Resume replication on a paused replica.
 
         :raises ControlFailed: if no answer is received.
+        :raises DutyLost: if the duty may have passed to another holder.
         """
         await self._execute(Resume())
 
@@ -104,6 +118,7 @@
         """Demote a primary to a replica and return its status.
 
         :raises ControlFailed: if it does not confirm; it may be a replica.
+        :raises DutyLost: if the duty may have passed to another holder.
         """
         return await self._execute_for_status(Demote(term))
 
@@ -134,6 +149,8 @@
         async with self._lock:
             await self.open()
             assert self._connection is not None
+            if isinstance(statement, (Pause, Resume, Demote)):
+                self._require_duty()
             try:
                 with trio.fail_after(COMMAND_TIMEOUT_S):
                     await self._connection.send([Request(statement)])
--- a/celeryfold/proxy/control_book.py
+++ b/celeryfold/proxy/control_book.py
@@ -10,10 +10,12 @@
 
 import trio
 
+from ..exceptions import CeleryfoldError
 from ..kernel.ids import ServiceId, Term, UpstreamId
 from ..kernel.metrics import Metrics
 from .clock import Clock
 from .control import ControlConnection, ControlFailed
+from .leases import DutyLost
 from .members import Member, ReplicaProgress
 from .positions import LogPosition
 from .upstream import ConnectFailure, Connector, Upstream, UpstreamStatus
@@ -25,7 +27,11 @@
 
 
 class ControlConnections:
-    """Sends control statements to members and tracks which of them were paused."""
+    """Sends control statements to members and tracks which of them were paused.
+
+    :param require_duty: raises :class:`DutyLost` if this instance may have lost the
+        duty, so that it changes no member any more.
+    """
 
     def __init__(
         self,
@@ -33,7 +39,9 @@
         connector: Connector,
         clock: Clock,
         metrics: Metrics,
+        require_duty: Callable[[], object],
     ) -> None:
+        self._require_duty = require_duty
         self._service = service
         self._connector = connector
         self._clock = clock
@@ -48,7 +56,9 @@
             member = Member(upstream.upstream_id, upstream.born_ms)
             known = self._controls.get(member)
             if known is None or known.upstream.address != upstream.address:
-                self._controls[member] = ControlConnection(upstream, self._connector)
+                self._controls[member] = ControlConnection(
+                    upstream, self._connector, self._require_duty
+                )
             else:
                 known.upstream = upstream
 
@@ -122,7 +132,9 @@
 
         :returns: the statuses of the members that confirmed it. The others may be
             paused as well.
+        :raises DutyLost: if the duty may have passed to another holder.
         """
+        self._require_duty()
         self._paused |= set(members)
         return await self._execute_on_each(members, lambda control: control.pause(term))
 
@@ -130,6 +142,7 @@
         """Demote a primary and return its last position.
 
         :raises ControlFailed: if it does not confirm; it may be demoted.
+        :raises DutyLost: if the duty may have passed to another holder.
         """
         return (await self._controls[member].demote(term)).received
 
@@ -152,7 +165,7 @@
         async def execute_one(member: Member) -> None:
             try:
                 answers[member] = await execute(self._controls[member])
-            except ControlFailed as error:
+            except (ControlFailed, DutyLost) as error:
                 _log_unanswered(member.upstream_id, error)
 
         async with trio.open_nursery() as nursery:
@@ -184,7 +197,10 @@
         self._paused = set(self._controls)
 
     async def resume_all(self) -> None:
-        """Resume replication on the members paused in an earlier failover attempt."""
+        """Resume replication on the members paused in an earlier failover attempt.
+
+        :raises DutyLost: if the duty may have passed to another holder.
+        """
         for member in list(self._paused):
             control = self._controls.get(member)
             if control is not None:
@@ -210,6 +226,6 @@
             await control.close()
 
 
-def _log_unanswered(upstream_id: UpstreamId, error: ControlFailed) -> None:
+def _log_unanswered(upstream_id: UpstreamId, error: CeleryfoldError) -> None:
     extra = {"upstream": upstream_id, "reason": str(error)}
     log.info("member does not answer", extra=extra)
--- a/celeryfold/proxy/guardian.py
+++ b/celeryfold/proxy/guardian.py
@@ -102,7 +102,11 @@
         self._clock = ports.clock
         self._record = DutyRecordStore(record_key, duty, ports.store)
         self._controls = ControlConnections(
-            service, ports.connector, ports.clock, ports.metrics
+            service,
+            ports.connector,
+            ports.clock,
+            ports.metrics,
+            duty.require_token,
         )
         self._ack_set = AckSet()
         self._n_watch_gaps = 0
