Tell promotion calls that were never sent from those without an answer

What callers would see: writes refused for as long as the platform's promotion service is away, although the primary is back.

Cause: every failed call counted as one that may still be carried out. One without a connection was never sent, and one that the platform turned away (429) is not kept.

Change: Promotions raises PromotionNotMade for these, and the guardian does not count them as open.

--- a/celeryfold/proxy/guardian.py
+++ b/celeryfold/proxy/guardian.py
@@ -24,7 +24,12 @@
 from .peers import PeerTable
 from .positions import LogPosition
 from .promotion_calls import PromotionCalls
-from .promotions import PromotionRefused, Promotions, PromotionUnanswered
+from .promotions import (
+    PromotionNotMade,
+    PromotionRefused,
+    Promotions,
+    PromotionUnanswered,
+)
 from .samples import Sample, SampleHistory
 from .store import CoordinationStore
 from .upstream import Connector, Upstream, UpstreamRole, UpstreamStatus
@@ -538,6 +543,7 @@
             "token": token,
         }
         log.info("promotion ordered", extra=extra)
+        named_before = self._calls.named
         self._calls.record_sent(token, chosen.upstream_id)
         self._ports.metrics.count("failover.ordered")
         try:
@@ -547,6 +553,10 @@
         except PromotionRefused:
             await self._duty.renew_token()
             raise
+        except PromotionNotMade as error:
+            self._calls.record_not_made(named_before)
+            log.warning("promotion not made", extra={**extra, "reason": str(error)})
+            return PROMOTION_RETRY_S
         except PromotionUnanswered as error:
             log.warning("promotion unanswered", extra={**extra, "reason": str(error)})
             return PROMOTION_RETRY_S
--- a/celeryfold/proxy/promotion_calls.py
+++ b/celeryfold/proxy/promotion_calls.py
@@ -18,9 +18,13 @@
     def __init__(self) -> None:
         self._token = 0
         self._target: UpstreamId | None = None
-        # The upstreams that open calls may name, or None if they are not known.
         self._named: frozenset[UpstreamId] | None = frozenset()
 
+    @property
+    def named(self) -> frozenset[UpstreamId] | None:
+        """The upstreams that open calls may name, or None if they are not known."""
+        return self._named
+
     def restore(self, is_settled: bool) -> None:
         """Apply the record of the previous holder of the duty.
 
@@ -47,6 +51,13 @@
         if self._named is not None:
             self._named |= {target}
 
+    def record_not_made(self, before: frozenset[UpstreamId] | None) -> None:
+        """Record that the latest call is never carried out.
+
+        :param before: the value of :attr:`named` before the call.
+        """
+        self._named = before
+
     def record_answered(self, target: UpstreamId) -> None:
         """Record that the platform has accepted the latest call."""
         self._named = frozenset((target,))
--- a/celeryfold/proxy/promotions.py
+++ b/celeryfold/proxy/promotions.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
-__all__ = ["PromotionRefused", "PromotionUnanswered", "Promotions"]
+__all__ = [
+    "PromotionNotMade",
+    "PromotionRefused",
+    "PromotionUnanswered",
+    "Promotions",
+]
 
 from abc import ABC, abstractmethod
 
@@ -18,6 +23,10 @@
     """No answer was received; the promotion may have happened or may happen later."""
 
 
+class PromotionNotMade(CeleryfoldError):
+    """The call was not sent, or was turned away; it is never carried out."""
+
+
 class Promotions(ABC):
     """The platform's service that promotes an upstream to primary."""
 
@@ -30,6 +39,7 @@
         :param holder: the instance that holds the duty of the service.
         :param token: the fencing token of the duty.
         :raises PromotionRefused: if the platform refused; nothing was done.
+        :raises PromotionNotMade: if the call is never carried out.
         :raises PromotionUnanswered: if no answer was received; the promotion may have
             happened or may happen later.
         """
--- a/celeryfold/proxy/tests/test_late_promotions.py
+++ b/celeryfold/proxy/tests/test_late_promotions.py
@@ -117,6 +117,19 @@
     check_nothing_lost(run_scenario(scenario))
 
 
+# Guards against replicas that stay paused for calls that were never sent.
+def test_a_call_that_was_not_sent_does_not_keep_replicas_paused():
+    async def scenario(deployment: SimulatedDeployment) -> None:
+        deployment.replicas.is_promotion_down = True
+        deployment.replicas.crash(FIRST, is_silent=True)
+        await trio.sleep(3.0)
+        deployment.replicas.restart(FIRST)
+        assert await wait_written(deployment, 1, 8.0) < 4.0
+        assert find_leader_id(deployment) == FIRST
+
+    check_nothing_lost(run_scenario(scenario))
+
+
 # Guards against a healthy primary that is replaced since the record cannot be read.
 def test_a_primary_is_kept_where_the_record_does_not_tell_of_open_calls():
     async def scenario(deployment: SimulatedDeployment) -> None:
--- a/celeryfold/standins/replicas.py
+++ b/celeryfold/standins/replicas.py
@@ -21,7 +21,12 @@
     UpstreamId,
 )
 from ..proxy.positions import LogPosition
-from ..proxy.promotions import PromotionRefused, Promotions, PromotionUnanswered
+from ..proxy.promotions import (
+    PromotionNotMade,
+    PromotionRefused,
+    Promotions,
+    PromotionUnanswered,
+)
 from ..proxy.upstream import (
     ConnectFailed,
     ConnectFailure,
@@ -73,6 +78,8 @@
         # Seconds after which each of the next promotion calls is carried out, without
         # an answer.
         self.promotion_lateness_s: list[float] = []
+        # Whether the platform's promotion service cannot be reached.
+        self.is_promotion_down = False
         self.highest_token = 0
         self.databases: dict[UpstreamId, Database] = {}
         self._nursery: trio.Nursery | None = None
@@ -260,6 +267,8 @@
     ) -> None:
         """Promote a database; see :class:`Promotions`."""
         assert self._nursery is not None
+        if self.is_promotion_down:
+            raise PromotionNotMade("the platform cannot be reached")
         if self.promotion_lateness_s:
             late_s = self.promotion_lateness_s.pop(0)
             call = (service, upstream, holder, token)
--- a/celeryfold/wire/client.py
+++ b/celeryfold/wire/client.py
@@ -70,10 +70,17 @@
 
     :param address: IP address and port of the server.
     :param tls: TLS context, or None for plain TCP.
+    :param connect_timeout_s: how long opening the connection may take, in seconds.
     """
 
-    def __init__(self, address: str, tls: ssl.SSLContext | None = None) -> None:
+    def __init__(
+        self,
+        address: str,
+        tls: ssl.SSLContext | None = None,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+    ) -> None:
         self.address = address
+        self._connect_timeout_s = connect_timeout_s
         self.is_usable = False
         self.idle_since = 0.0
         self.n_bytes = 0
@@ -88,7 +95,7 @@
         """
         host, port = split_address(self.address)
         try:
-            with trio.fail_after(CONNECT_TIMEOUT_S):
+            with trio.fail_after(self._connect_timeout_s):
                 stream: trio.abc.Stream = await trio.open_tcp_stream(host, port)
                 if self._tls is not None:
                     stream = trio.SSLStream(stream, self._tls, server_hostname=host)
@@ -195,6 +202,7 @@
     :param address: IP address and port of the server.
     :param tls: TLS context, or None for plain TCP.
     :param count_bytes: called with the size of each request and its response in bytes.
+    :param connect_timeout_s: how long opening a connection may take, in seconds.
     """
 
     def __init__(
@@ -202,8 +210,10 @@
         address: str,
         tls: ssl.SSLContext | None = None,
         count_bytes: Callable[[int], None] | None = None,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
     ) -> None:
         self.address = address
+        self._connect_timeout_s = connect_timeout_s
         self._count_bytes = count_bytes
         self._tls = tls
         self._idle: list[HttpChannel] = []
@@ -240,7 +250,7 @@
             if idle_s < IDLE_CHANNEL_TIMEOUT_S and not channel.has_unsolicited_data():
                 return channel
             await channel.close()
-        channel = HttpChannel(self.address, self._tls)
+        channel = HttpChannel(self.address, self._tls, self._connect_timeout_s)
         await channel.start()
         return channel
 
