Promote a replica after the primary and all instances were lost at once

Cause: which upstream had been primary was known from samples, which only processes keep. Without one, the former primary was among the members that have to be paused before another is promoted. Evidence: the log repeats "promotion waits for members" with the lost primary as the absent one and "told": "None". The same holds where a promoted primary is lost beside the only holder that had seen it lead: others then take the one before it for the primary and wait for the lost one.

Change: each acknowledged commit is on its primary and on one replica at least. Whoever led, one upstream may therefore be absent once all others are paused, and the most advanced of them is promoted. A former primary that is back as a replica is paused too, if the attempt would wait otherwise. So that the argument holds, a primary that is missing from the list stays a member. Dropped replicas are part of the record now: without any sample, one that may have come back and acknowledged alone is waited for, so that nothing is lost for the sake of recovery.

--- a/celeryfold/proxy/control_book.py
+++ b/celeryfold/proxy/control_book.py
@@ -66,10 +66,13 @@
         """Return all members except those of one upstream."""
         return [member for member in self._controls if member.upstream_id != excluded]
 
+    def list_of(self, upstream_id: UpstreamId) -> list[Member]:
+        """Return the incarnations of one upstream."""
+        return [m for m in self._controls if m.upstream_id == upstream_id]
+
     def find_member(self, upstream_id: UpstreamId) -> Member | None:
         """Return the latest incarnation of an upstream, or None if it is not known."""
-        found = [m for m in self._controls if m.upstream_id == upstream_id]
-        return max(found, default=None)
+        return max(self.list_of(upstream_id), default=None)
 
     def are_open(self, members: Iterable[Member]) -> bool:
         """Return whether every member still has its connection open.
--- a/celeryfold/proxy/duty_record.py
+++ b/celeryfold/proxy/duty_record.py
@@ -31,12 +31,14 @@
     :param as_of: the revision of the list of upstreams that the holder had seen.
     :param is_settled: whether no promotion call that was sent can depose the primary
         any more. Records of earlier versions do not tell.
+    :param dropped: the members that were dropped and may come back.
     """
 
     members: tuple[Member, ...] = ()
     turn_of: str = ""
     as_of: int | None = None
     is_settled: bool = False
+    dropped: tuple[Member, ...] = ()
 
     def is_equivalent(self, other: DutyRecord) -> bool:
         """Return whether another record differs at most in its revision."""
--- a/celeryfold/proxy/guardian.py
+++ b/celeryfold/proxy/guardian.py
@@ -20,7 +20,12 @@
 from .directory import MISSING_GRACE_S, Directory
 from .duty_record import DutyRecord, DutyRecordStore
 from .leases import LEASE_TTL_S, Duty, DutyLost
-from .members import AckSet, Member, choose_caught_up, choose_successor
+from .members import (
+    AckSet,
+    Member,
+    choose_caught_up,
+    choose_successor,
+)
 from .peers import PeerTable
 from .positions import LogPosition
 from .promotion_calls import PromotionCalls
@@ -197,7 +202,8 @@
     def _make_record(self, turn_of: str, is_settled: bool) -> DutyRecord:
         members = tuple(sorted(self._ack_set.members))
         revision = self._ports.directory.listing.revision
-        return DutyRecord(members, turn_of, revision, is_settled)
+        dropped = tuple(sorted(self._ack_set.dropped))
+        return DutyRecord(members, turn_of, revision, is_settled, dropped)
 
     def _is_key_unconfirmed(self) -> bool:
         """Return whether the connected store watch shows no own key of the duty."""
@@ -266,7 +272,9 @@
         """
         now = self._clock()
         record = await self._record.read()
-        for member in self._ack_set.restore(record.members, now, record.as_of):
+        for member in self._ack_set.restore(
+            record.members, now, record.as_of, record.dropped
+        ):
             await self._controls.drop(member)
         is_attempt_open = record.turn_of not in ("", self._ports.me)
         self._act_after = now + LEASE_TTL_S if is_attempt_open else now
@@ -356,28 +364,56 @@
             self._log_attempt("promotion waits for entries to come back", newest)
             return False
         term = self._find_next_term(statuses, newest)
-        others = self._controls.list_except(lost_id)
         self._may_be_paused = True
-        paused = await self._controls.pause(others, term)
-        required = [m for m in self._ack_set.members if m.upstream_id != lost_id]
-        progress_of = self._controls.find_progress(paused, self._ack_set.list_missing())
-        in_doubt = self._ack_set.in_doubt
-        last_seen = self._ports.samples.find_highest_position(self.service)
-        chosen = choose_successor(required, progress_of, in_doubt, last_seen)
+        others = self._controls.list_except(lost_id)
+        paused = await self._pause_replicas(others, statuses, term)
+        chosen = self._choose_successor(paused, newest)
+        if chosen is None and lost_id is not None:
+            # It may have come back as a replica of a primary that was never seen here.
+            lost = self._controls.list_of(lost_id)
+            statuses = await self._controls.read_statuses(lost)
+            term = max(term, self._find_next_term(statuses, newest))
+            paused |= await self._pause_replicas(list(statuses), statuses, term)
+            chosen = self._choose_successor(paused, newest)
         if chosen is None:
-            absent = [
-                m.upstream_id for m in (*required, *in_doubt) if m not in progress_of
-            ]
-            self._log_attempt(
-                "promotion waits for members",
-                newest,
-                absent=absent,
-                told=str(last_seen),
-            )
             return False
-        await self._promote(chosen, term, required)
+        await self._promote(chosen, term, paused.keys())
         return True
 
+    async def _pause_replicas(
+        self,
+        members: list[Member],
+        statuses: dict[Member, UpstreamStatus],
+        term: Term,
+    ) -> dict[Member, UpstreamStatus]:
+        """Pause the members that do not report to be primary.
+
+        :returns: the statuses of the replicas that confirmed it.
+        """
+        primary = UpstreamRole.PRIMARY
+        leading = {m for m, status in statuses.items() if status.role is primary}
+        replicas = [member for member in members if member not in leading]
+        paused = await self._controls.pause(replicas, term)
+        return {m: status for m, status in paused.items() if status.role is not primary}
+
+    def _choose_successor(
+        self, paused: dict[Member, UpstreamStatus], newest: Sample | None
+    ) -> Member | None:
+        """Return the member to promote, or None if others may hold the only copy."""
+        missing = self._ack_set.list_missing()
+        progress_of = self._controls.find_progress(paused, missing)
+        members, in_doubt = self._ack_set.members, self._ack_set.in_doubt
+        last_seen = self._ports.samples.find_highest_position(self.service)
+        if last_seen is None:
+            in_doubt |= self._ack_set.dropped
+        lost_id = newest.upstream if newest is not None else None
+        chosen = choose_successor(members, progress_of, lost_id, in_doubt, last_seen)
+        if chosen is None:
+            absent = {m.upstream_id for m in members | in_doubt if m not in paused}
+            text, told = "promotion waits for members", str(last_seen)
+            self._log_attempt(text, newest, absent=sorted(absent), told=told)
+        return chosen
+
     def _may_entries_reappear(self) -> bool:
         """Return whether a member in doubt may still be listed again.
 
--- a/celeryfold/proxy/members.py
+++ b/celeryfold/proxy/members.py
@@ -2,7 +2,13 @@
 
 from __future__ import annotations
 
-__all__ = ["AckSet", "Member", "choose_caught_up", "choose_successor"]
+__all__ = [
+    "AckSet",
+    "Member",
+    "ReplicaProgress",
+    "choose_caught_up",
+    "choose_successor",
+]
 
 import math
 from collections.abc import Collection, Iterable, Mapping
@@ -101,8 +107,17 @@
                 self._missing_since[member] = now
         return bool(added)
 
+    @property
+    def dropped(self) -> frozenset[Member]:
+        """The dropped members that were not leaving and may come back."""
+        return frozenset(self._dropped)
+
     def restore(
-        self, members: Collection[Member], now: float, as_of: int | None = None
+        self,
+        members: Collection[Member],
+        now: float,
+        as_of: int | None = None,
+        dropped: Collection[Member] = (),
     ) -> list[Member]:
         """Add the members that the previous holder of the duty recorded.
 
@@ -113,20 +128,23 @@
         :param now: the current time, in seconds of this instance's clock.
         :param as_of: the revision of the list that the previous holder had seen, or
             None if the record has none.
+        :param dropped: the members that the previous holder had dropped and that may
+            come back.
         :returns: the members dropped.
         """
+        self._dropped.update(m for m in dropped if m not in self._missing_since)
         for member in members:
             dropped_at = self._dropped_at.get(member)
             if dropped_at is None or as_of is None or as_of > dropped_at:
                 self._missing_since.setdefault(member, now)
         if as_of is None:
             return []
-        dropped = [
+        superseded = [
             member
             for member in self.list_missing()
             if member not in members and self._revisions.get(member, 0) <= as_of
         ]
-        for member in dropped:
+        for member in superseded:
             since = self._missing_since[member]
             self._drop(member, as_of)
             if (
@@ -135,7 +153,7 @@
                 and since < self._last_gap_at
             ):
                 self._in_doubt_since[member] = self._last_gap_at
-        return dropped
+        return superseded
 
     def record_watch_gap(self, now: float) -> None:
         """Record that changes of the list may have been missed up to this moment.
@@ -159,9 +177,10 @@
     ) -> list[Member]:
         """Drop the missing members whose commits another replica holds.
 
-        A member that answers is kept even if it is not listed. Where another
-        incarnation of the upstream is listed, the answer comes from that one, so the
-        former incarnation is dropped all the same.
+        The primary stays a member, so that each commit is on two of them. A member that
+        answers is kept even if it is not listed. Where another incarnation of the
+        upstream is listed, the answer comes from that one, so the former incarnation is
+        dropped all the same.
 
         :param leader_position: a position of the primary that covers every commit
             acknowledged before ``sampled_at``.
@@ -183,7 +202,10 @@
         dropped = [
             member
             for member, since in self._missing_since.items()
-            if since is not None and since < sampled_at and member not in alive
+            if since is not None
+            and since < sampled_at
+            and member not in alive
+            and member.upstream_id != leader
         ]
         for member in dropped:
             self._drop(member, revision)
@@ -201,29 +223,36 @@
 
 
 def choose_successor(
-    required: Collection[Member],
+    members: Collection[Member],
     progress_of: Mapping[Member, ReplicaProgress],
+    lost: UpstreamId | None = None,
     in_doubt: Collection[Member] = (),
     last_seen: LogPosition | None = None,
 ) -> Member | None:
-    """Return the member to promote once all required members are paused.
+    """Return the member to promote once at most one upstream is not paused.
 
-    Each acknowledged commit was received by at least one required member, and logs are
-    append-only, so the member that has received most holds all acknowledged commits. A
-    required member that is not paused may hold the only copy of a commit. A member in
-    doubt can do so only if all others lack a commit that an instance has seen.
+    Each acknowledged commit is in the logs of its primary and of one replica at least,
+    and logs are append-only. The paused member that has received most therefore holds
+    all of them, whether the absent upstream was the primary or a replica. A member in
+    doubt can hold the only copy only if all others lack a commit that an instance has
+    seen.
 
-    :param required: the members that may have acknowledged commits.
+    :param members: all members, the former primary included.
     :param progress_of: the positions of the paused members.
-    :param in_doubt: further members that may have acknowledged commits unseen.
-    :param last_seen: the highest position of the lost primary that any instance has
-        seen.
-    :returns: None if a member that may hold the only copy is not paused.
+    :param lost: the former primary if it is known. It counts as absent unless it is
+        paused.
+    :param in_doubt: further members that may have acknowledged commits unseen. If no
+        position of a primary was seen, none of them may be absent.
+    :param last_seen: the highest position of a primary that any instance has seen.
+    :returns: None if the only copy of a commit may be on members that are not paused.
     """
-    if not required or any(member not in progress_of for member in required):
+    absent = {member.upstream_id for member in members if member not in progress_of}
+    if lost is not None and all(m.upstream_id != lost for m in progress_of):
+        absent.add(lost)
+    if not progress_of or len(absent) > 1:
         return None
-    if last_seen is not None and any(member not in progress_of for member in in_doubt):
-        if all(progress.received < last_seen for progress in progress_of.values()):
+    if any(member not in progress_of for member in in_doubt):
+        if last_seen is None or _is_ahead_of_all(last_seen, progress_of):
             return None
 
     def rank(member: Member) -> tuple[LogPosition, bool, Member]:
@@ -233,6 +262,12 @@
     return max(progress_of, key=rank)
 
 
+def _is_ahead_of_all(
+    position: LogPosition, progress_of: Mapping[Member, ReplicaProgress]
+) -> bool:
+    return all(progress.received < position for progress in progress_of.values())
+
+
 def choose_caught_up(
     final_position: LogPosition, progress_of: Mapping[Member, ReplicaProgress]
 ) -> Member | None:
--- a/celeryfold/proxy/tests/test_exploration.py
+++ b/celeryfold/proxy/tests/test_exploration.py
@@ -10,6 +10,12 @@
 refreshes its members, drops covered ones, pauses replicas and promotes one. The
 promoted replica has to hold every commit visible to a client.
 
+In a second search the primary and all instances may be lost at the same moment. The
+next guardian starts with the record in the store, which the last one wrote after its
+own knowledge had changed, and has seen no position of the primary. No commit visible
+to a client may be lost then either, and a replica has to be promoted if all replicas
+are as they were before.
+
 A promotion takes effect at once in the model, so a replica that restarts between its
 pause and the promotion does not occur here. The guardian checks for it.
 
@@ -29,6 +35,7 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
+from celeryfold.conftest import count_examples
 from celeryfold.kernel.ids import PlaceId, Position, ServiceId, Term, UpstreamId
 from celeryfold.proxy.members import AckSet, Member, ReplicaProgress, choose_successor
 from celeryfold.proxy.positions import LogPosition
@@ -62,6 +69,9 @@
     :param dropped: members that the guardian has dropped and that may come back.
     :param in_doubt: dropped members that may have acknowledged commits unseen.
     :param unread: incarnations listed since the guardian last read the list.
+    :param has_memory: whether the guardian or its peers remember the primary.
+    :param recorded: the members in the store's record.
+    :param recorded_dropped: the dropped members in the store's record.
     """
 
     n_written: int = 0
@@ -76,11 +86,20 @@
     dropped: frozenset[Member] = frozenset()
     in_doubt: frozenset[Member] = frozenset()
     unread: frozenset[Member] = frozenset()
+    has_memory: bool = True
+    recorded: frozenset[Member] = frozenset(
+        Member(UpstreamId(name), 1) for name in NAMES
+    )
+    recorded_dropped: frozenset[Member] = frozenset()
 
 
 class Rules(Struct, frozen=True):
     """The rules in force; a test switches single ones off to show that each is needed.
 
+    :param n_commits: how many commits the primary may write.
+    :param n_incarnations: how many incarnations a replica may have.
+    :param loses_all: the primary and all instances may be lost at once. This is an
+        event, not a rule.
     :param sees_every_incarnation: leave out incarnations that end before the guardian
         has read the list. This is an assumption about the events, not a rule.
     """
@@ -90,7 +109,12 @@
     covers_before_dropping: bool = True
     reads_list_first: bool = True
     waits_for_doubted: bool = True
+    allows_one_absent: bool = True
+    waits_for_dropped: bool = True
     sees_every_incarnation: bool = False
+    loses_all: bool = False
+    n_commits: int = N_COMMITS
+    n_incarnations: int = N_INCARNATIONS
 
 
 def set_replica(state: State, index: int, **changes: object) -> State:
@@ -222,7 +246,9 @@
 
 def step_service(state: State, rules: Rules) -> Iterator[State]:
     """Yield the states after each event of the databases and of the store."""
-    if state.is_leading and state.n_written < N_COMMITS:
+    if rules.loses_all and state.has_memory:
+        yield lose_all(state)
+    if state.is_leading and state.n_written < rules.n_commits:
         yield replace(state, n_written=state.n_written + 1)
     if state.is_leading and state.n_visible < state.n_acknowledged:
         yield replace(state, n_visible=state.n_acknowledged)
@@ -239,6 +265,27 @@
         yield replace(state, is_store_down=True, unread=frozenset())
 
 
+def lose_all(state: State) -> State:
+    """Lose the primary and all instances; only the record in the store remains."""
+    return replace(
+        state,
+        is_leading=False,
+        has_memory=False,
+        known=frozenset((member, True) for member in state.recorded),
+        dropped=state.recorded_dropped,
+        in_doubt=frozenset(),
+        unread=frozenset(),
+    )
+
+
+def write_record(state: State) -> State:
+    return replace(
+        state,
+        recorded=frozenset(member for member, _ in state.known),
+        recorded_dropped=state.dropped,
+    )
+
+
 def step_running(state: State, index: int, replica: Replica) -> Iterator[State]:
     is_known = replica.is_listed or state.is_store_down
     receives = state.is_leading and is_known and not replica.is_paused
@@ -258,7 +305,7 @@
     if replica.is_listed and is_seen:
         yield set_replica(state, index, is_listed=False)
     yield start_replica(state, index, replica)
-    if is_seen and replica.incarnation < N_INCARNATIONS:
+    if is_seen and replica.incarnation < rules.n_incarnations:
         restarted = replace(replica, incarnation=replica.incarnation + 1, received=0)
         yield start_replica(state, index, restarted)
 
@@ -276,7 +323,8 @@
         incarnation=replica.incarnation,
         received=replica.received,
     )
-    if state.is_store_down:
+    # Without instances nobody reads the history of the list.
+    if state.is_store_down or not state.has_memory:
         return started
     member = Member(UpstreamId(NAMES[index]), replica.incarnation)
     return replace(started, unread=state.unread | {member})
@@ -287,6 +335,8 @@
     for index, replica in enumerate(state.replicas):
         if replica.is_running:
             state = set_replica(state, index, is_listed=True)
+    if not state.has_memory:
+        return replace(state, is_store_down=False)
     knowledge = record_watch_gap(refresh(state), list_members(state))
     return replace(save_knowledge(state, knowledge), is_store_down=False)
 
@@ -296,7 +346,10 @@
     knowledge = load_knowledge(state) if state.is_store_down else refresh(state)
     if not rules.tells_lives_apart:
         knowledge = merge_incarnations(knowledge, list_members(state))
-    yield save_knowledge(state, knowledge)
+    if state.has_memory:
+        yield save_knowledge(state, knowledge)
+        if rules.loses_all and not state.is_store_down:
+            yield write_record(save_knowledge(state, knowledge))
     is_due = knowledge.in_doubt or any(missing for _, missing in knowledge.known)
     if state.is_leading and is_due:
         leader_position = state.n_written if rules.covers_before_dropping else 0
@@ -336,7 +389,17 @@
         required = frozenset(m for m in required if m.upstream_id not in names)
         required |= frozenset(held)
     in_doubt = knowledge.in_doubt if rules.waits_for_doubted else frozenset()
-    chosen = choose_successor(required, held, in_doubt, make_position(state.n_visible))
+    if state.has_memory:
+        seen = make_position(state.n_visible)
+        lost = PRIMARY.upstream_id
+        chosen = choose_successor(required, held, lost, in_doubt, seen)
+    else:
+        required |= {PRIMARY}
+        if not rules.allows_one_absent:
+            required |= {Member(UpstreamId("nobody"), 1)}
+        if rules.waits_for_dropped:
+            in_doubt |= knowledge.dropped
+        chosen = choose_successor(required, held, None, in_doubt)
     return None if chosen is None else int(held[chosen].received.number)
 
 
@@ -369,6 +432,8 @@
         return state
     return replace(
         state,
+        recorded=swap_names(state.recorded),
+        recorded_dropped=swap_names(state.recorded_dropped),
         replicas=(second, first),
         known=swap_known(state.known),
         dropped=swap_names(state.dropped),
@@ -385,10 +450,23 @@
     return state.n_acknowledged
 
 
+def is_stuck(state: State, held: int | None) -> bool:
+    """Return whether no replica is promoted although all are as they were before."""
+    if state.has_memory or state.is_store_down or held is not None:
+        return False
+    return all(
+        replica.is_running
+        and replica.is_listed
+        and replica.is_paused
+        and replica.incarnation == 1
+        for replica in state.replicas
+    )
+
+
 def explore(
     rules: Rules, count_required: Callable[[State], int] = count_visible
 ) -> list[State] | None:
-    """Return a shortest path to a loss, or None if there is none.
+    """Return a shortest path to a loss or a stuck state, or None if there is none.
 
     :param count_required: returns how many commits the promoted replica has to hold.
     """
@@ -400,6 +478,8 @@
         held = promote(state, rules)
         if held is not None and held < count_required(state):
             return build_path(before, state)
+        if is_stuck(state, held):
+            return build_path(before, state)
         if not state.is_leading and not count_required(state):
             continue  # no commit is required, nor will any be
         for step in [*step_service(state, rules), *step_guardian(state, rules)]:
@@ -442,3 +522,18 @@
 def test_without_any_one_rule_a_commit_is_lost(rule):
     path = explore(replace(Rules(), **{rule: False}))
     assert path is not None, rule
+
+
+LOSES_ALL = Rules(
+    loses_all=True, n_commits=1, n_incarnations=count_examples(1, N_INCARNATIONS)
+)
+
+
+@pytest.mark.proof
+def test_no_loss_of_all_instances_loses_a_commit_or_prevents_a_promotion():
+    assert explore(LOSES_ALL) is None
+
+
+@pytest.mark.parametrize("rule", ["allows_one_absent", "waits_for_dropped"])
+def test_a_loss_of_all_instances_needs_each_rule(rule):
+    assert explore(replace(LOSES_ALL, **{rule: False})) is not None, rule
--- a/celeryfold/proxy/tests/test_failover.py
+++ b/celeryfold/proxy/tests/test_failover.py
@@ -494,3 +494,93 @@
     deployment = run_scenario(scenario)
     check_nothing_lost(deployment)
     assert len(deployment.replicas.promotions) == 1
+
+
+async def restart_all(deployment: SimulatedDeployment) -> None:
+    """Kill all instances at the same time and start them again after a second."""
+    numbers = range(len(deployment.instances))
+    for number in numbers:
+        deployment.kill(number)
+    await trio.sleep(1.0)
+    for number in numbers:
+        await deployment.start_again(number)
+
+
+# Guards against review case 4: without a sample of the primary, the guardian waited for
+# the primary itself.
+def test_a_primary_lost_beside_all_instances_is_replaced():
+    async def scenario(deployment: SimulatedDeployment) -> None:
+        session = deployment.open_session(0, PRIMARY)
+        for number in range(5):
+            await deployment.run(session, Write(f"a {number}"))
+        deployment.replicas.crash(FIRST)
+        await trio.sleep(0.2)
+        await restart_all(deployment)
+        assert await wait_written(deployment, 1, 20.0) < 10.0
+
+    check_nothing_lost(run_scenario(scenario))
+
+
+# Guards against a wait for a promoted primary that was lost beside all who knew it.
+def test_a_new_primary_lost_beside_all_that_knew_it_is_replaced():
+    async def scenario(deployment: SimulatedDeployment) -> None:
+        deployment.replicas.crash(FIRST, is_silent=True)
+        while find_leader_id(deployment) == FIRST:
+            await trio.sleep(0.02)
+        leader = find_leader_id(deployment)
+        for number in range(len(deployment.instances)):
+            deployment.kill(number)
+        deployment.replicas.crash(leader)
+        deployment.replicas.restart(FIRST)
+        await trio.sleep(1.0)
+        for number in range(len(deployment.instances)):
+            await deployment.start_again(number)
+        assert await wait_written(deployment, 1, 20.0) < 10.0
+
+    check_nothing_lost(run_scenario(scenario))
+
+
+# Guards against a wait for a primary that only the lost holder of the duty had seen.
+def test_a_primary_that_only_the_lost_holder_knew_is_replaced():
+    async def scenario(deployment: SimulatedDeployment) -> None:
+        guardian = deployment.find_guardian()
+        assert guardian is not None
+        deployment.replicas.crash(FIRST, is_silent=True)
+        while find_leader_id(deployment) == FIRST:
+            await trio.sleep(0.01)
+        deployment.kill(guardian)
+        deployment.replicas.crash(find_leader_id(deployment))
+        deployment.replicas.restart(FIRST)
+        other = (guardian + 1) % 3
+        assert await wait_written(deployment, other, 20.0) < 12.0
+
+    check_nothing_lost(run_scenario(scenario))
+
+
+# Guards against a recovery that loses the commits of a dropped replica.
+def test_after_a_loss_of_all_instances_a_dropped_replica_is_waited_for():
+    """It returned in an outage of the store and holds the only copy of a commit."""
+
+    async def scenario(deployment: SimulatedDeployment) -> None:
+        session = deployment.open_session(0, PRIMARY)
+        await deployment.run(session, Write("a 1"))
+        deployment.replicas.crash(THIRD)
+        await trio.sleep(10.0)
+        deployment.store.is_down = True
+        await trio.sleep(4.0)
+        deployment.replicas.restart(THIRD)
+        deployment.replicas.databases[SECOND].is_replication_cut = True
+        await trio.sleep(0.5)
+        assert (await deployment.run(session, Write("a 2"))).error is None
+        deployment.replicas.crash(THIRD)
+        deployment.replicas.crash(FIRST)
+        deployment.replicas.databases[SECOND].is_replication_cut = False
+        await restart_all(deployment)
+        deployment.store.is_down = False
+        await trio.sleep(12.0)
+        assert not deployment.replicas.promotions
+        deployment.replicas.restart(THIRD)
+        await wait_written(deployment, 1, 12.0)
+        assert find_leader_id(deployment) == THIRD
+
+    check_nothing_lost(run_scenario(scenario))
--- a/celeryfold/proxy/tests/test_samples_and_members.py
+++ b/celeryfold/proxy/tests/test_samples_and_members.py
@@ -135,13 +135,12 @@
         received[replica] = acknowledged
     ack_set = AckSet()
     ack_set.update([make_upstream(name) for name in NAMES], 0.0)
-    required = [m for m in ack_set.members if m.upstream_id != NAMES[0]]
     held = {
         Member(NAMES[number], 1): ReplicaProgress(at(1, n), False)
         for number, n in received.items()
         if number not in silent
     }
-    chosen = choose_successor(required, held)
+    chosen = choose_successor(ack_set.members, held, NAMES[0])
     if silent:
         assert chosen is None
     else:
