Keep links running when a message cannot be decoded or encoded

Cause: a reply with a number over 64 bits, or with text that is no UTF-8, cannot be encoded, and the error ended the link and so the process. A message nested too deeply raised RecursionError, which was not handled either. An age that is negative or no number would have dated a sample into the future.

Change: a reply that cannot be encoded is replaced by a failure, logged and counted; a request is not sent, and its sender is told so. Messages that cannot be decoded raise Unreadable, whatever the reason. Ages and clock stamps have bounds.

--- a/celeryfold/exceptions.py
+++ b/celeryfold/exceptions.py
@@ -8,6 +8,7 @@
     "RequestFailure",
     "StoreConflict",
     "StoreUnavailable",
+    "Unreadable",
 ]
 
 from .kernel.errors import ErrorKind
@@ -21,6 +22,10 @@
     """Invalid input from a user; the message names the file, the field and the fix."""
 
 
+class Unreadable(CeleryfoldError):
+    """Data of another program that cannot be decoded."""
+
+
 class StoreUnavailable(CeleryfoldError):
     """The store gave no valid response; a change may still have taken effect."""
 
--- a/celeryfold/links/codec.py
+++ b/celeryfold/links/codec.py
@@ -4,14 +4,19 @@
 
 __all__ = ["Envelope", "FailureReply", "MessageCodec"]
 
-from typing import Any, Generic, TypeVar
+from typing import Annotated, Any, Generic, TypeVar
 
 import msgspec
 
+from ..exceptions import Unreadable
+from ..kernel.decoding import DECODE_ERRORS
 from ..kernel.errors import ErrorKind
 
 M = TypeVar("M")
 
+# A clock that followed a later one could not be encoded any more.
+MAX_STAMP_MS = 2**53
+
 
 class FailureReply(msgspec.Struct, frozen=True, array_like=True, tag="failure"):
     """Reply that reports a request failure to the requesting peer.
@@ -32,7 +37,7 @@
     """
 
     number: int
-    stamp_ms: int
+    stamp_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_STAMP_MS)]
     message: M
 
 
@@ -53,6 +58,9 @@
     def decode(self, data: bytes) -> Envelope[Any]:
         """Return the envelope decoded from bytes.
 
-        :raises msgspec.DecodeError: if the bytes are not a valid envelope.
+        :raises Unreadable: if the bytes are not a valid envelope.
         """
-        return self._decoder.decode(data)
+        try:
+            return self._decoder.decode(data)
+        except DECODE_ERRORS as error:
+            raise Unreadable(str(error)) from error
--- a/celeryfold/links/zmq_link.py
+++ b/celeryfold/links/zmq_link.py
@@ -13,7 +13,8 @@
 import trio
 import zmq
 
-from ..exceptions import BadInput, RequestFailure
+from ..exceptions import BadInput, RequestFailure, Unreadable
+from ..kernel.decoding import DECODE_ERRORS
 from ..kernel.errors import ErrorKind
 from ..kernel.events import HybridClock
 from ..kernel.metrics import Metrics
@@ -158,7 +159,7 @@
         self._metrics.count("peer.bytes_received", len(data))
         try:
             envelope = self._codec.decode(data)
-        except msgspec.DecodeError:
+        except Unreadable:
             self._metrics.count("peer.unreadable")
             return None
         self._clock.observe(envelope.stamp_ms)
@@ -176,7 +177,14 @@
         except Exception:
             log.exception("peer request failed")
             reply = FailureReply(ErrorKind.INTERNAL, "internal error, see the log")
-        data = self._encode(envelope.number, reply)
+        try:
+            data = self._encode(envelope.number, reply)
+        except DECODE_ERRORS:
+            # The reply holds a value of another program that has no encoding.
+            log.exception("peer reply cannot be encoded")
+            self._metrics.count("peer.unencodable")
+            reply = FailureReply(ErrorKind.INTERNAL, "the reply cannot be encoded")
+            data = self._encode(envelope.number, reply)
         if self._nursery is None:
             return
         try:
@@ -197,13 +205,18 @@
         """Send a request to a peer and return its reply; see :class:`PeerLink`."""
         if self._nursery is None:
             raise PeerUnreachable("the link is not running")
-        peer = self._peers.get(address) or self._connect(address)
         number = next(self._request_numbers)
+        try:
+            data = self._encode(number, message)
+        except DECODE_ERRORS as error:
+            self._metrics.count("peer.unencodable")
+            raise PeerUnreachable(f"a request cannot be encoded: {error}") from error
+        peer = self._peers.get(address) or self._connect(address)
         pending = self._pending[number] = _PendingRequest()
         peer.last_used_at = trio.current_time()
         peer.n_pending += 1
         try:
-            peer.socket.send(self._encode(number, message), zmq.NOBLOCK)
+            peer.socket.send(data, zmq.NOBLOCK)
             self._drain_dealer(peer.socket)
             with trio.move_on_after(timeout_s):
                 await pending.done.wait()
--- a/celeryfold/proxy/messages.py
+++ b/celeryfold/proxy/messages.py
@@ -4,6 +4,8 @@
 
 __all__ = ["AgedPeer", "AgedSample", "AskNews", "News", "Peer"]
 
+from typing import Annotated
+
 import msgspec
 
 from ..balancing.capacity import DEFAULT_WEIGHT
@@ -29,6 +31,10 @@
     capacity: float = DEFAULT_WEIGHT
 
 
+# An age that is negative or no number would date the state wrongly for ever.
+Age = Annotated[float, msgspec.Meta(ge=0)]
+
+
 class AgedPeer(msgspec.Struct, frozen=True, array_like=True):
     """A report of an instance with the time since it was last seen.
 
@@ -36,7 +42,7 @@
     """
 
     peer: Peer
-    age_s: float
+    age_s: Age
 
 
 class AgedSample(msgspec.Struct, frozen=True, array_like=True):
@@ -50,7 +56,7 @@
     service: ServiceId
     upstream: UpstreamId
     position: LogPosition
-    age_s: float
+    age_s: Age
 
 
 class AskNews(msgspec.Struct, frozen=True, array_like=True, tag="ask_news"):
@@ -77,7 +83,7 @@
     """
 
     sender: Peer
-    store_age_s: float
+    store_age_s: Age
     source: bytes | None
     listing: Listing | None
     samples: tuple[AgedSample, ...]
