Follow the other entries where one cannot be decoded

What callers saw: no primary was promoted after a crash while another writer had left an entry that was nested too deeply among those of the databases. Configurations and lists were not followed any more (report of other operators).

Cause: only errors of the library were handled. Deep nesting raises RecursionError, which ended the watch of the store and each failover attempt, again after every restart. Found beside it: integers without bounds (versions of configurations, times of birth, log positions) that cannot be passed on to other instances; an item whose value is not base64 made a whole page of the store unusable; a record of a duty or a part of a configuration stopped its reader; entries without version or cold_ms counted as databases.

Change: decode_json raises Unreadable whatever the reason, and all decoders of what other programs write use it. Counts have bounds. One odd item is logged once for each revision and counted, and the others are followed.

--- a/celeryfold/commands/explain.py
+++ b/celeryfold/commands/explain.py
@@ -11,7 +11,8 @@
 import click
 import msgspec
 
-from ..exceptions import BadInput
+from ..exceptions import BadInput, Unreadable
+from ..kernel.decoding import decode_json
 
 # Log messages that change what a process takes to be the state of the deployment, with
 # the field that names their subject. A line replaces the earlier one with the same
@@ -56,8 +57,8 @@
         if start < 0:
             continue
         try:
-            fields = msgspec.json.decode(text[start:], type=dict[str, Any])
-        except msgspec.DecodeError:
+            fields = decode_json(text[start:], dict[str, Any])
+        except Unreadable:
             # The line is truncated, or another program wrote it.
             continue
         if all(name in fields for name in ("asctime", "message", "process")):
--- a/celeryfold/commands/recover.py
+++ b/celeryfold/commands/recover.py
@@ -19,6 +19,7 @@
 from ..groups.record import GroupRecord
 from ..groups.record_cache import KEY_PREFIX
 from ..groups.recovery import describe_loss, propose_recovery
+from ..kernel.decoding import decode_json
 from ..kernel.ids import GroupId, SlotId
 
 
@@ -38,7 +39,7 @@
     definition = Catalog(objects).slots.get(slot)
     if definition is None:
         raise BadInput(f"--slot {slot}: not defined; check the name")
-    record = msgspec.json.decode(entry.value, type=GroupRecord)
+    record = decode_json(entry.value, GroupRecord)
     try:
         status = await HttpSlot(slot, definition.address).fetch_status()
     except SlotUnreachable as error:
--- a/celeryfold/commands/status.py
+++ b/celeryfold/commands/status.py
@@ -5,11 +5,11 @@
 __all__ = ["fetch", "run"]
 
 import click
-import msgspec
 import trio
 
 from ..exceptions import BadInput
 from ..http_handlers import InstanceReport
+from ..kernel.decoding import decode_json
 from ..wire.client import HttpClient, ResponseLost, Unreachable
 
 TIMEOUT_S = 3.0
@@ -39,7 +39,7 @@
     if as_json:
         click.echo(body.decode())
         return 0
-    report = msgspec.json.decode(body, type=InstanceReport)
+    report = decode_json(body, InstanceReport)
     click.echo(f"instance {report.instance}, generation {report.generation}")
     for member in report.members:
         click.echo(
--- a/celeryfold/commands/timeline.py
+++ b/celeryfold/commands/timeline.py
@@ -8,9 +8,9 @@
 from urllib.parse import urlencode
 
 import click
-import msgspec
 import trio
 
+from ..kernel.decoding import decode_json
 from ..kernel.events import Event, merge_events
 from .status import fetch
 
@@ -26,7 +26,7 @@
     streams = []
     for address in addresses:
         body = trio.run(fetch, address, path)
-        streams.append(msgspec.json.decode(body, type=list[Event]))
+        streams.append(decode_json(body, list[Event]))
     for event in merge_events(streams):
         moment = datetime.fromtimestamp(event.stamp_ms / 1000.0, tz=timezone.utc)
         clock = moment.strftime("%H:%M:%S.%f")[:-3]
--- a/celeryfold/config/adoption.py
+++ b/celeryfold/config/adoption.py
@@ -7,10 +7,11 @@
 import logging
 from collections.abc import Mapping
 
-import msgspec
 import trio
 from pydantic import ValidationError
 
+from ..exceptions import Unreadable
+from ..kernel.decoding import decode_json
 from ..kernel.ids import Generation
 from .objects import Catalog, ObjectSet
 from .parts import Manifest, compute_digest, join_set
@@ -50,11 +51,11 @@
         if any(compute_digest(content) != name for name, content in fetched.items()):
             return False
         try:
-            manifest = msgspec.json.decode(encoded_manifest, type=Manifest)
+            manifest = decode_json(encoded_manifest, Manifest)
             parts = {**self.blobs, **fetched}
             kept = {digest: parts[digest] for digest in manifest.parts}
             objects = join_set(manifest, kept)
-        except (KeyError, msgspec.DecodeError, ValidationError):
+        except (KeyError, Unreadable, ValidationError):
             log.exception(
                 "configuration generation %s is incomplete or invalid", generation
             )
--- a/celeryfold/config/parts.py
+++ b/celeryfold/config/parts.py
@@ -15,6 +15,7 @@
 import msgspec
 import xxhash
 
+from ..kernel.decoding import decode_json
 from .objects import ObjectSet
 
 TARGET_PART_BYTES = 16_384
@@ -86,12 +87,14 @@
     """Return the object set that a manifest and its parts describe.
 
     :param blobs: at least the parts in the manifest, by content hash.
-    :raises KeyError: if a part is missing.
+    :raises KeyError: if a part, or the name of an item, is missing.
+    :raises Unreadable: if a part cannot be decoded.
     :raises pydantic.ValidationError: if the parts do not form a valid set.
     """
     merged: dict[str, list[Any]] = {}
     for digest in manifest.parts:
-        for section, items in msgspec.json.decode(blobs[digest]).items():
+        part = decode_json(blobs[digest], dict[str, list[dict[str, Any]]])
+        for section, items in part.items():
             merged.setdefault(section, []).extend(items)
     for items in merged.values():
         items.sort(key=lambda item: str(item["name"]))
--- a/celeryfold/config/publishing.py
+++ b/celeryfold/config/publishing.py
@@ -23,6 +23,7 @@
 from returns.result import Failure, Result, Success
 
 from ..drivers.store import Store, StoreConflict, StoreEntry, StoreUnavailable
+from ..kernel.decoding import decode_json
 from ..kernel.ids import Generation
 from .objects import ObjectSet
 from .parts import Manifest, SplitSet, join_set, split_set
@@ -77,10 +78,13 @@
 
 
 def read_pointer(entry: StoreEntry | None) -> Pointer | None:
-    """Return the pointer in a store entry; None if the entry does not exist."""
+    """Return the pointer in a store entry; None if the entry does not exist.
+
+    :raises Unreadable: if the entry cannot be decoded.
+    """
     if entry is None:
         return None
-    return msgspec.json.decode(entry.value, type=Pointer)
+    return decode_json(entry.value, Pointer)
 
 
 async def load_blob(store: Store, digest: str) -> bytes | None:
@@ -149,7 +153,7 @@
     encoded_manifest = await load_blob(store, pointer.digest)
     if encoded_manifest is None:
         return frozenset()
-    return frozenset(msgspec.json.decode(encoded_manifest, type=Manifest).parts)
+    return frozenset(decode_json(encoded_manifest, Manifest).parts)
 
 
 async def _store_blobs(store: Store, split: SplitSet, known: frozenset[str]) -> None:
@@ -204,7 +208,7 @@
     encoded_manifest = await load_blob(store, digest)
     if encoded_manifest is None:
         return None
-    manifest = msgspec.json.decode(encoded_manifest, type=Manifest)
+    manifest = decode_json(encoded_manifest, Manifest)
     blobs: dict[str, bytes] = {}
     for part in manifest.parts:
         content = await load_blob(store, part)
--- a/celeryfold/drivers/http_slot.py
+++ b/celeryfold/drivers/http_slot.py
@@ -11,6 +11,8 @@
 import msgspec
 import trio
 
+from ..exceptions import Unreadable
+from ..kernel.decoding import DECODE_ERRORS, decode_json
 from ..kernel.ids import Position, SlotId, Term
 from ..kernel.metrics import Metrics
 from ..wire.client import HttpChannel, HttpClient, ResponseLost, Unreachable
@@ -54,8 +56,8 @@
     if response.status == HTTP_OK:
         return response.body
     try:
-        refusal = msgspec.json.decode(response.body, type=Refusal)
-    except msgspec.DecodeError as error:
+        refusal = decode_json(response.body, Refusal)
+    except Unreadable as error:
         raise BatchResultLost(f"the slot returned status {response.status}") from error
     raise _REFUSAL_ERRORS[refusal.kind](refusal.message)
 
@@ -63,7 +65,7 @@
 def _decode(decoder: msgspec.json.Decoder[T], body: bytes) -> T:
     try:
         return decoder.decode(body)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise BatchResultLost("malformed response from the slot") from error
 
 
--- a/celeryfold/drivers/http_store.py
+++ b/celeryfold/drivers/http_store.py
@@ -4,11 +4,14 @@
 
 __all__ = ["HttpInstanceList", "HttpStore"]
 
+from typing import Any
 from urllib.parse import quote
 
 import msgspec
 import trio
 
+from ..exceptions import Unreadable
+from ..kernel.decoding import decode_json
 from ..kernel.metrics import Metrics
 from ..wire.client import HttpClient, ResponseLost, Unreachable
 from ..wire.messages import HttpResponse
@@ -27,6 +30,7 @@
 HTTP_GONE = 410
 # Rises by one each time the store is restored from an older copy of its data.
 ERA_HEADER = "store-era"
+N_ERA_DIGITS = 6
 
 
 class HttpStore(Store):
@@ -42,13 +46,13 @@
         """Return an entry, or None if the key is absent."""
         path = f"/entry?key={quote(key, safe='')}"
         body = await self._call("get", "GET", path, b"", CALL_TIMEOUT_S)
-        return msgspec.json.decode(body, type=StoreEntry | None)
+        return _decode(body, StoreEntry | None)
 
     async def compare_and_swap(self, key: str, expected: int, value: bytes) -> int:
         """Write a value if the key is at the expected revision."""
         body = msgspec.json.encode(SwapBody(key, expected, value))
         answer = await self._call("swap", "POST", "/swap", body, CALL_TIMEOUT_S)
-        revision = msgspec.json.decode(answer, type=SwapResult).revision
+        revision = _decode(answer, SwapResult).revision
         if revision is None:
             raise StoreConflict(f"{key} is not at revision {expected}")
         return revision
@@ -61,7 +65,7 @@
         path = f"/watch?prefix={quote(prefix, safe='')}"
         path += f"&after={after_revision}&wait_ms={wait_ms}"
         body = await self._call("watch", "GET", path, b"", CALL_TIMEOUT_S + wait_s)
-        return msgspec.json.decode(body, type=WatchResult).entries
+        return _decode(body, WatchResult).entries
 
     async def _call(
         self, kind: str, method: str, path: str, body: bytes, timeout_s: float
@@ -70,7 +74,7 @@
         try:
             response = await _exchange(self._client, method, path, body, timeout_s)
             era = dict(response.headers).get(ERA_HEADER, "")
-            if era.isdecimal():
+            if era.isdecimal() and len(era) <= N_ERA_DIGITS:
                 self.era = int(era)
             if response.status == HTTP_GONE:
                 raise HistoryLost("the store has not given out the revision")
@@ -96,17 +100,24 @@
         """Return the current list."""
         try:
             body = await _request(self._client, "GET", "/list", b"", CALL_TIMEOUT_S)
-        except _CallFailed as error:
+            return decode_json(body, Listing)
+        except (_CallFailed, Unreadable) as error:
             raise ListUnavailable(
                 "no valid response from the list of instances"
             ) from error
-        return msgspec.json.decode(body, type=Listing)
 
     async def close(self) -> None:
         """Close the connections."""
         await self._client.close()
 
 
+def _decode(body: bytes, kind: Any) -> Any:
+    try:
+        return decode_json(body, kind)
+    except Unreadable as error:
+        raise StoreUnavailable(f"malformed store response: {error}") from error
+
+
 class _CallFailed(Exception):
     pass
 
--- a/celeryfold/entry/requests.py
+++ b/celeryfold/entry/requests.py
@@ -19,7 +19,8 @@
 import msgspec
 
 from ..drivers.slot import Scalar
-from ..exceptions import RequestFailure
+from ..exceptions import RequestFailure, Unreadable
+from ..kernel.decoding import decode_json
 from ..kernel.errors import ErrorKind
 
 T = TypeVar("T")
@@ -106,6 +107,6 @@
     :raises RequestFailure: if the body is invalid; the message names the field.
     """
     try:
-        return msgspec.json.decode(body or b"{}", type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        return decode_json(body or b"{}", kind)
+    except Unreadable as error:
         raise RequestFailure(ErrorKind.BAD_REQUEST, f"body: {error}") from error
--- a/celeryfold/fleet/replicated_state.py
+++ b/celeryfold/fleet/replicated_state.py
@@ -15,9 +15,10 @@
 from ..config.parts import Manifest, compute_digest
 from ..config.publishing import Pointer, load_blob
 from ..drivers.store import Store, StoreEntry
-from ..exceptions import CeleryfoldError
+from ..exceptions import CeleryfoldError, Unreadable
 from ..groups.record import GroupRecord
 from ..groups.record_cache import KnownRecord, RecordCache
+from ..kernel.decoding import decode_json
 from ..kernel.events import EventKind, Timeline
 from ..kernel.ids import GroupId, SlotId
 from ..links.link import PeerLink
@@ -147,13 +148,22 @@
         return self._digest
 
     async def apply_store_entry(self, entry: StoreEntry) -> None:
-        """Apply an entry that a watch of the store returned, and broadcast it."""
+        """Apply an entry that a watch of the store returned, and broadcast it.
+
+        One that cannot be decoded is logged and changes nothing.
+        """
+        try:
+            await self._apply_store_entry(entry)
+        except Unreadable as error:
+            log.error("unreadable store entry %s: %s", entry.key, error)
+
+    async def _apply_store_entry(self, entry: StoreEntry) -> None:
         if entry.key.startswith(GROUP_KEY_PREFIX):
             group = GroupId(entry.key.removeprefix(GROUP_KEY_PREFIX))
-            record = msgspec.json.decode(entry.value, type=GroupRecord)
+            record = decode_json(entry.value, GroupRecord)
             await self.publish_record(KnownRecord(group, entry.revision, record))
         else:
-            pointer = msgspec.json.decode(entry.value, type=Pointer)
+            pointer = decode_json(entry.value, Pointer)
             self._set_target(ConfigNews(pointer.generation, pointer.digest, ""))
 
     async def publish_record(self, known: KnownRecord) -> None:
@@ -188,8 +198,8 @@
         if head is None:
             return False
         try:
-            manifest = msgspec.json.decode(head, type=Manifest)
-        except msgspec.DecodeError:
+            manifest = decode_json(head, Manifest)
+        except Unreadable:
             return False
         missing = self._configuration.list_missing_parts(manifest)
         fetched = await self._fetch_all(missing, target.holder)
--- a/celeryfold/fleet/write_back.py
+++ b/celeryfold/fleet/write_back.py
@@ -12,8 +12,10 @@
 from ..config.adoption import Configuration
 from ..config.publishing import BLOB_PREFIX, CURRENT_KEY, Pointer, read_pointer
 from ..drivers.store import Store, StoreConflict, StoreEntry
+from ..exceptions import Unreadable
 from ..groups.record import GroupRecord
 from ..groups.record_cache import KnownRecord, RecordCache
+from ..kernel.decoding import decode_json
 from ..kernel.ids import Generation
 from .replicated_state import ReplicatedState
 
@@ -61,8 +63,8 @@
         entry = await self._store.get(known.key)
         record = known.record
         if entry is not None:
-            stored = msgspec.json.decode(entry.value, type=GroupRecord)
-            if stored.progress >= record.progress:
+            stored = _read_record(entry)
+            if stored is not None and stored.progress >= record.progress:
                 stored_known = KnownRecord(known.group, entry.revision, stored)
                 await self._replicated_state.publish_record(stored_known)
                 return
@@ -109,3 +111,12 @@
         value = msgspec.json.encode(pointer)
         expected = entry.revision if entry is not None else 0
         await self._store.compare_and_swap(CURRENT_KEY, expected, value)
+
+
+def _read_record(entry: StoreEntry) -> GroupRecord | None:
+    """Return the record in an entry, or None if it cannot be decoded."""
+    try:
+        return decode_json(entry.value, GroupRecord)
+    except Unreadable as error:
+        log.error("unreadable record %s: %s", entry.key, error)
+        return None
--- a/celeryfold/groups/guardian.py
+++ b/celeryfold/groups/guardian.py
@@ -13,7 +13,8 @@
 from ..config.objects import Catalog, UpstreamGroup
 from ..drivers.slot import OrderRefused, Slot, SlotStatus, SlotUnreachable
 from ..drivers.store import Store, StoreConflict, StoreUnavailable
-from ..exceptions import CeleryfoldError
+from ..exceptions import CeleryfoldError, Unreadable
+from ..kernel.decoding import decode_json
 from ..kernel.events import EventKind, Timeline
 from ..kernel.ids import GroupId, SlotId
 from ..kernel.metrics import Metrics
@@ -327,7 +328,11 @@
         except StoreUnavailable:
             return
         if entry is not None:
-            record = msgspec.json.decode(entry.value, type=GroupRecord)
+            try:
+                record = decode_json(entry.value, GroupRecord)
+            except Unreadable as error:
+                log.error("unreadable record of group %s: %s", self.group, error)
+                return
             known = KnownRecord(self.group, entry.revision, record)
             await self._ports.publish_record(known)
 
--- a/celeryfold/home/outcomes.py
+++ b/celeryfold/home/outcomes.py
@@ -15,6 +15,7 @@
 
 from ..drivers.slot import ResultSet, Statement
 from ..exceptions import RequestFailure
+from ..kernel.decoding import decode_json
 from ..kernel.errors import ErrorKind
 
 CANCELLED = "cancelled"
@@ -67,4 +68,4 @@
         raise RequestFailure(ErrorKind.KEY_REUSED, text)
     if not answer:
         return ResultSet()
-    return msgspec.json.decode(str(answer), type=ResultSet)
+    return decode_json(str(answer), ResultSet)
--- a/celeryfold/platform/entries.py
+++ b/celeryfold/platform/entries.py
@@ -10,7 +10,8 @@
 import msgspec
 
 from ..accounts import AccountRules, AccountTable, KeyDigest, digest_key
-from ..exceptions import BadInput
+from ..exceptions import BadInput, Unreadable
+from ..kernel.decoding import decode_json
 from ..kernel.ids import AccountId, Generation, PlaceId, ServiceId, UpstreamId
 from ..proxy.routes import Consistency, Route, RouteTable, ServiceRules
 from ..proxy.upstream import Upstream, UpstreamRole
@@ -37,12 +38,14 @@
 _AccountName = Annotated[str, msgspec.Meta(pattern=r"\A[^\s\x00-\x1f\x7f]+\Z")]
 # A session without a key must not match an account.
 _Key = Annotated[str, msgspec.Meta(min_length=1)]
-_Amount = Annotated[float, msgspec.Meta(ge=0)]
+_Amount = Annotated[float, msgspec.Meta(ge=0, le=_MAX_COUNT)]
+_Priority = Annotated[int, msgspec.Meta(ge=-_MAX_COUNT, le=_MAX_COUNT)]
 
 
 class _ServerEntry(msgspec.Struct):
     """Entry that a database registers for itself.
 
+    :param version: version of the software of the database.
     :param slots: number of statements that the database runs concurrently.
     :param born: start time of the database in Unix milliseconds.
     :param cold_ms: further milliseconds that the database is slow after its start.
@@ -52,11 +55,12 @@
     address: _Name
     zone: _Name
     slots: _Count
+    version: str
     state: str
     seq_no: int
+    cold_ms: _Amount
     db_role: str | None = None
     born: _Count = 0
-    cold_ms: float = 0
 
 
 class _RouteBody(msgspec.Struct):
@@ -70,21 +74,21 @@
     host: str
     type: str
     service: str
-    timeout_ms: float
-    target_latency_ms: float
-    priority: int = 0
-    max_staleness_ms: float = 0
+    timeout_ms: _Amount
+    target_latency_ms: _Amount
+    priority: _Priority = 0
+    max_staleness_ms: _Amount = 0
     public: bool = False
 
 
 class _ServiceBody(msgspec.Struct):
     name: str
-    max_conns: int = DEFAULT_N_CONNECTIONS
-    sync_replicas: int = 0
+    max_conns: _Count = DEFAULT_N_CONNECTIONS
+    sync_replicas: _Count = 0
 
 
 class _LimitsBody(msgspec.Struct):
-    tx_idle_ms: float = 3000
+    tx_idle_ms: _Amount = 3000
 
 
 class _AccountBody(msgspec.Struct):
@@ -105,7 +109,7 @@
 
 
 class _ConfigBody(msgspec.Struct):
-    version: int
+    version: _Count
     routes: list[_RouteBody]
     services: list[_ServiceBody]
     limits: _LimitsBody = msgspec.field(default_factory=_LimitsBody)
@@ -121,8 +125,8 @@
     def decode_upstream(self, upstream_id: UpstreamId, value: bytes) -> Upstream | None:
         """Return the upstream of an entry, or None if the entry is invalid."""
         try:
-            entry = msgspec.json.decode(value, type=_ServerEntry)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+            entry = decode_json(value, _ServerEntry)
+        except Unreadable:
             return None
         if entry.state not in _IS_LEAVING_BY_STATE:
             return None
@@ -146,10 +150,10 @@
         :raises BadInput: if the entry does not have the documented format.
         """
         try:
-            body = msgspec.json.decode(value, type=_ConfigBody)
+            body = decode_json(value, _ConfigBody)
             routes = [_make_route(route) for route in body.routes]
             accounts = _make_accounts(body.tenants)
-        except (msgspec.DecodeError, KeyError) as error:
+        except (Unreadable, KeyError) as error:
             raise BadInput(f"op/config: {error}; use the documented format") from error
         return RouteTable(
             version=Generation(body.version),
--- a/celeryfold/platform/journals.py
+++ b/celeryfold/platform/journals.py
@@ -9,7 +9,8 @@
 
 import msgspec
 
-from ..exceptions import BadInput
+from ..exceptions import BadInput, Unreadable
+from ..kernel.decoding import decode_json
 
 
 class Loss(msgspec.Struct, frozen=True):
@@ -93,10 +94,10 @@
         the message names the file and the correction.
     """
     try:
-        body = msgspec.json.decode(path.read_bytes(), type=_JournalBody)
+        body = decode_json(path.read_bytes(), _JournalBody)
     except OSError as error:
         raise BadInput(f"{path}: {error.strerror}; name a file that exists") from error
-    except msgspec.DecodeError as error:
+    except Unreadable as error:
         raise BadInput(f"{path}: {error}; give a journal entry") from error
     if body.site is None or not body.days:
         raise BadInput(f"{path}: no completed days; give the entry of a finished run")
--- a/celeryfold/platform/protocol.py
+++ b/celeryfold/platform/protocol.py
@@ -43,6 +43,8 @@
     UpstreamStatus,
 )
 
+# Numbers of this length fit into the integers of all codecs.
+N_COUNT_DIGITS = 15
 _STATES = {
     "I": TransactionState.IDLE,
     "T": TransactionState.OPEN,
@@ -125,7 +127,17 @@
     if text == "-":
         return None
     term, _, number = text.partition(".")
-    return LogPosition(Term(int(term)), Position(int(number)))
+    return LogPosition(Term(_decode_count(term)), Position(_decode_count(number)))
+
+
+def _decode_count(text: str) -> int:
+    """Return a number that can be passed on to other instances.
+
+    :raises ValueError: if the text is no such number.
+    """
+    if not text.isascii() or not text.isdigit() or len(text) > N_COUNT_DIGITS:
+        raise ValueError(f"'{text[:20]}' is no number of up to {N_COUNT_DIGITS} digits")
+    return int(text)
 
 
 def decode_status(row: str) -> UpstreamStatus:
@@ -136,7 +148,8 @@
     """
     role, term, received, held, *_ = row.split(" ")
     position = decode_position(received) or LogPosition(Term(0), Position(0))
-    return UpstreamStatus(_ROLES[role], Term(int(term)), position, Term(int(held)))
+    terms = Term(_decode_count(term)), Term(_decode_count(held))
+    return UpstreamStatus(_ROLES[role], terms[0], position, terms[1])
 
 
 def decode_query(text: str) -> Statement:
--- a/celeryfold/platform/settings.py
+++ b/celeryfold/platform/settings.py
@@ -20,7 +20,8 @@
 
 from ..accounts import KeyRevocation, RateLimitBounds
 from ..balancing import Capacity
-from ..exceptions import BadInput
+from ..exceptions import BadInput, Unreadable
+from ..kernel.decoding import decode_json
 from ..kernel.ids import InstanceId, PlaceId, RegionId
 from ..proxy.instance import ProxySettings
 from ..wire.client import is_address
@@ -163,10 +164,10 @@
         each invalid field and its correction.
     """
     try:
-        settings = msgspec.json.decode(path.read_bytes(), type=PlatformSettings)
+        settings = decode_json(path.read_bytes(), PlatformSettings)
     except OSError as error:
         raise BadInput(f"{path}: {error.strerror}; name a file that exists") from error
-    except msgspec.DecodeError as error:
+    except Unreadable as error:
         raise BadInput(f"{path}: {error}; correct that field") from error
     errors = list(_find_errors(settings))
     if errors:
--- a/celeryfold/platform/store.py
+++ b/celeryfold/platform/store.py
@@ -5,6 +5,7 @@
 __all__ = ["HttpCoordinationStore"]
 
 import base64
+import logging
 from collections.abc import Sequence
 from typing import TypeVar
 from urllib.parse import quote
@@ -12,6 +13,8 @@
 import msgspec
 import trio
 
+from ..exceptions import Unreadable
+from ..kernel.decoding import decode_json
 from ..kernel.ids import LeaseId
 from ..kernel.metrics import Metrics
 from ..proxy.store import (
@@ -32,6 +35,8 @@
 from ..wire.client import HttpClient, ResponseLost, Unreachable
 from ..wire.messages import HttpResponse
 
+log = logging.getLogger(__name__)
+
 # The store responds within milliseconds normally and within 0.3 s when slow.
 CALL_TIMEOUT_S = 1.0
 JSON_HEADERS = (("Content-Type", "application/json"),)
@@ -42,6 +47,7 @@
 REFUSED = (429, 503)
 # Rises by one each time the store is restored from an older copy of its data.
 ERA_HEADER = "store-era"
+N_ERA_DIGITS = 6
 
 B = TypeVar("B")
 
@@ -90,7 +96,7 @@
         response = await self._call("get", "GET", path)
         if response.status == NOT_FOUND:
             return None
-        return _make_item(_decode(response, _ItemBody))
+        return self._make_item(_decode(response, _ItemBody))
 
     async def list_items(self, prefix: str) -> ItemList:
         """Return all items below a prefix, fetched page by page.
@@ -106,7 +112,7 @@
         while True:
             response = await self._call("range", "GET", page_path)
             body = _decode(response, _RangeBody)
-            items += [_make_item(item) for item in body.items]
+            items += [self._make_item(item) for item in body.items]
             if as_of is None:
                 as_of, era = body.as_of, self.era
             elif self.era != era:
@@ -129,7 +135,8 @@
         if response.status == GONE:
             raise HistoryLost(f"the store no longer has the changes after {after}")
         body = _decode(response, _EventsBody)
-        return Changes(tuple(_make_change(event) for event in body.events), body.as_of)
+        changes = tuple(self._make_change(event) for event in body.events)
+        return Changes(changes, body.as_of)
 
     async def commit(
         self,
@@ -212,32 +219,37 @@
             raise StoreUnavailable(f"store call {kind} returned {response.status}")
         return response
 
+    def _make_item(self, body: _ItemBody) -> Item:
+        """Return an item; a value that cannot be read is taken for an empty one.
+
+        The other items of the same answer stay usable then.
+        """
+        try:
+            value = base64.b64decode(body.value, validate=True)
+        except ValueError as error:
+            self._metrics.count("store.unreadable_value")
+            extra = {"key": body.key, "revision": body.revision, "reason": str(error)}
+            log.warning("unreadable value", extra=extra)
+            value = b""
+        return Item(body.key, value, body.revision, body.created)
+
+    def _make_change(self, body: _ItemBody) -> Change:
+        item = None if body.deleted else self._make_item(body)
+        return Change(body.key, body.revision, item)
+
     def _record_era(self, response: HttpResponse) -> None:
         text = dict(response.headers).get(ERA_HEADER, "")
-        if text.isdecimal():
+        if text.isdecimal() and len(text) <= N_ERA_DIGITS:
             self.era = int(text)
 
 
 def _decode(response: HttpResponse, body_type: type[B]) -> B:
     try:
-        return msgspec.json.decode(response.body, type=body_type)
-    except msgspec.DecodeError as error:
+        return decode_json(response.body, body_type)
+    except Unreadable as error:
         raise StoreUnavailable(f"malformed store response: {error}") from error
 
 
-def _make_item(body: _ItemBody) -> Item:
-    try:
-        value = base64.b64decode(body.value, validate=True)
-    except ValueError as error:
-        raise StoreUnavailable(f"malformed value of {body.key}: {error}") from error
-    return Item(body.key, value, body.revision, body.created)
-
-
-def _make_change(body: _ItemBody) -> Change:
-    item = None if body.deleted else _make_item(body)
-    return Change(body.key, body.revision, item)
-
-
 def _encode_write(write: ItemWrite) -> dict[str, str | int]:
     value = base64.b64encode(write.value).decode("ascii")
     return {"key": write.key, "value": value, "lease": write.lease or 0}
--- a/celeryfold/proxy/duty_record.py
+++ b/celeryfold/proxy/duty_record.py
@@ -8,7 +8,8 @@
 
 import msgspec
 
-from ..exceptions import CeleryfoldError
+from ..exceptions import CeleryfoldError, Unreadable
+from ..kernel.decoding import decode_json
 from .leases import Duty
 from .members import Member
 from .store import (
@@ -77,8 +78,8 @@
         if item is not None:
             self.record = DutyRecord()
             try:
-                self.record = msgspec.json.decode(item.value, type=DutyRecord)
-            except msgspec.DecodeError as error:
+                self.record = decode_json(item.value, DutyRecord)
+            except Unreadable as error:
                 extra = {"key": self._key, "reason": str(error)}
                 log.error("unreadable duty record", extra=extra)
         return self.record
--- a/celeryfold/proxy/members.py
+++ b/celeryfold/proxy/members.py
@@ -12,6 +12,7 @@
 
 import math
 from collections.abc import Collection, Iterable, Mapping
+from typing import Annotated
 
 import msgspec
 
@@ -19,6 +20,9 @@
 from .positions import LogPosition
 from .upstream import Upstream
 
+# The largest integer that every JSON decoder reads exactly.
+MAX_BORN_MS = 2**53
+
 
 class Member(msgspec.Struct, frozen=True, order=True):
     """One incarnation of an upstream.
@@ -30,7 +34,7 @@
     """
 
     upstream_id: UpstreamId
-    born_ms: int
+    born_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_BORN_MS)]
 
 
 class ReplicaProgress(msgspec.Struct, frozen=True):
--- a/celeryfold/proxy/watcher.py
+++ b/celeryfold/proxy/watcher.py
@@ -94,6 +94,8 @@
         self._directory = directory
         self._metrics = metrics
         self._upstreams: dict[UpstreamId, Upstream] = {}
+        # The revisions of unusable items that have been logged, by key.
+        self._unusable: dict[str, int] = {}
         self._as_of = 0
         self._listed_at = 0.0
         self._table_read_at = 0.0
@@ -192,6 +194,7 @@
         before = self._upstreams.get(upstream_id)
         if item is None:
             self._upstreams.pop(upstream_id, None)
+            self._unusable.pop(key, None)
         else:
             self._update_upstream(item)
         return self._upstreams.get(upstream_id) != before
@@ -206,9 +209,10 @@
             self._upstreams[upstream_id] = upstream
             return
         self._metrics.count("store.unusable_entry")
-        log.warning(
-            "unusable entry", extra={"key": item.key, "revision": item.revision}
-        )
+        if self._unusable.get(item.key) != item.revision:
+            self._unusable[item.key] = item.revision
+            extra = {"key": item.key, "revision": item.revision}
+            log.warning("unusable entry", extra=extra)
         self._upstreams.pop(upstream_id, None)
 
     def _publish(self, revision: int) -> None:
@@ -220,8 +224,12 @@
         try:
             table = self._decoder.decode_table(item.value)
         except CeleryfoldError as error:
-            extra = {"key": item.key, "revision": item.revision, "reason": str(error)}
-            log.error("unreadable configuration", extra=extra)
+            self._metrics.count("store.unreadable_configuration")
+            if self._unusable.get(item.key) != item.revision:
+                self._unusable[item.key] = item.revision
+                extra = {"key": item.key, "revision": item.revision}
+                extra["reason"] = str(error)
+                log.error("unreadable configuration", extra=extra)
             return
         self._routes.adopt(table, item.value, "store")
 
--- a/celeryfold/standins/deployment.py
+++ b/celeryfold/standins/deployment.py
@@ -12,7 +12,8 @@
 
 from ..accounts import NO_ACCOUNT, AccountTable, KeyRevocation, digest_key
 from ..balancing.capacity import Capacity
-from ..exceptions import BadInput
+from ..exceptions import BadInput, Unreadable
+from ..kernel.decoding import decode_json
 from ..kernel.ids import (
     AccountId,
     Generation,
@@ -52,8 +53,8 @@
     def decode_upstream(self, upstream_id: UpstreamId, value: bytes) -> Upstream | None:
         """Return the upstream in an entry, or None if the entry is malformed."""
         try:
-            return msgspec.json.decode(value, type=Upstream)
-        except msgspec.DecodeError:
+            return decode_json(value, Upstream)
+        except Unreadable:
             return None
 
     def decode_table(self, value: bytes) -> RouteTable:
@@ -62,8 +63,8 @@
         :raises BadInput: if the entry is malformed.
         """
         try:
-            return msgspec.json.decode(value, type=RouteTable)
-        except msgspec.DecodeError as error:
+            return decode_json(value, RouteTable)
+        except Unreadable as error:
             raise BadInput(f"table: {error}") from error
 
 
