Read the record of the duty before acting on it

What callers could see: what an earlier holder had recorded was lost, and with it the guards against late promotion calls and dropped replicas.

Cause: a guardian that took the duty and then could not read the record, as the store did not answer, went on in its next step as if there were none, and overwrote it.

Change: a step of the holder reads the record first until it has it.

Result: test_a_holder_reads_the_record_before_it_acts failed before (one read of the record instead of two) and passes.

--- a/celeryfold/proxy/guardian.py
+++ b/celeryfold/proxy/guardian.py
@@ -126,6 +126,8 @@
         self._act_after = math.inf
         self._calls = PromotionCalls()
         self._settled_at = -math.inf
+        # Whether the record of the previous holder was read since the duty was taken.
+        self._has_record = False
         # Whether a failover attempt may have left replicas paused.
         self._may_be_paused = False
         self._promoted_at = -math.inf
@@ -162,6 +164,8 @@
         if not self._duty.is_held:
             await self._try_take_duty()
             return
+        if not self._has_record:
+            await self._start_duty()
         if self._clock() < self._act_after:
             return
         if self._is_key_unconfirmed():
@@ -230,6 +234,7 @@
             await self._controls.close()
         item = self._ports.watcher.items.get(self._duty.key)
         if item is not None and self._duty.claim_if_own(item):
+            self._has_record = False
             await self._start_duty()
             return
         is_vacant = item is None or self._duty.is_from_earlier_process(item)
@@ -251,6 +256,7 @@
             extra = {"service": self.service, "reason": str(error)}
             log.info("duty not taken", extra=extra)
             return
+        self._has_record = False
         await self._start_duty()
 
     def _find_rank(self) -> int:
@@ -280,6 +286,7 @@
         self._act_after = now + LEASE_TTL_S if is_attempt_open else now
         self._calls.restore(record.is_settled)
         self._may_be_paused = record.turn_of != ""
+        self._has_record = True
         self._controls.assume_all_paused()
 
     async def _begin_attempt(self) -> None:
--- a/celeryfold/proxy/tests/test_late_promotions.py
+++ b/celeryfold/proxy/tests/test_late_promotions.py
@@ -8,6 +8,7 @@
 from celeryfold.proxy.guardian import N_PROMOTION_ATTEMPTS
 from celeryfold.proxy.routes import Consistency
 from celeryfold.proxy.statements import Write
+from celeryfold.proxy.store import Item, StoreUnavailable
 from celeryfold.standins.deployment import SimulatedDeployment
 
 from .test_failover import (
@@ -146,3 +147,36 @@
         assert named == [FIRST]
 
     check_nothing_lost(run_scenario(scenario))
+
+
+# Guards against a holder that acts without the record since it could not read it.
+def test_a_holder_reads_the_record_before_it_acts():
+    async def scenario(deployment: SimulatedDeployment) -> None:
+        deployment.replicas.promotion_lateness_s = [11.0]
+        deployment.replicas.crash(FIRST, is_silent=True)
+        await wait_unanswered(deployment)
+        guardian = deployment.find_guardian()
+        assert guardian is not None
+        deployment.kill(guardian)
+        n_failures = 0
+        read = deployment.store.get
+
+        async def get(key: str) -> Item | None:
+            nonlocal n_failures
+            if key.startswith("celeryfold/members/") and n_failures < 2:
+                n_failures += 1
+                raise StoreUnavailable("no response")
+            return await read(key)
+
+        deployment.store.get = get  # type: ignore[method-assign]
+        await trio.sleep(2.0)
+        deployment.replicas.restart(FIRST)
+        other = (guardian + 1) % 3
+        await wait_written(deployment, other, 15.0)
+        leader = find_leader_id(deployment)
+        await write_without(deployment, THIRD if leader == FIRST else FIRST, other)
+        await trio.sleep(12.0)
+        assert n_failures == 2
+        assert find_leader_id(deployment) == leader
+
+    check_nothing_lost(run_scenario(scenario))
