Bring late promotions, a loss of all and odd entries about in the soak

Three faults are new: late-promotion leaves the next promotion call unanswered for 2 to 12 s and takes the primary away, lose-all loses the primary for good (once in a run) and kills all processes, odd-entry leaves an entry that cannot be decoded.

--- a/celeryfold/soak/deployment.py
+++ b/celeryfold/soak/deployment.py
@@ -87,6 +87,8 @@
         self.databases: dict[UpstreamId, Forwarder] = {}
         self.instances: list[_Instance] = []
         self.unexpected_exits: list[str] = []
+        # Databases that are not started again.
+        self.lost_databases: set[UpstreamId] = set()
         self._n_instances = n_instances
         self._version = 0
         self._is_closing = False
@@ -212,12 +214,18 @@
         for instance in self.instances:
             self.signal(instance, signal.SIGCONT)
             instance.is_paused = False
+        replicas.promotion_lateness_s.clear()
         for upstream_id, database in replicas.databases.items():
             database.is_replication_cut = False
-            if not database.is_alive:
-                replicas.restart(upstream_id)
+            self.restart_database(upstream_id)
         replicas.ship_log()
 
+    def restart_database(self, upstream_id: UpstreamId) -> None:
+        """Start a stopped database again unless it is lost for good."""
+        is_alive = self.standin.replicas.databases[upstream_id].is_alive
+        if not is_alive and upstream_id not in self.lost_databases:
+            self.standin.replicas.restart(upstream_id)
+
     def list_forwarders(self) -> list[Forwarder]:
         """Return all forwarders."""
         own = [forwarder for i in self.instances for forwarder in (i.clients, i.store)]
--- a/celeryfold/soak/faults.py
+++ b/celeryfold/soak/faults.py
@@ -29,6 +29,17 @@
 MAX_COPY_AGE_S = 10.0
 # The keys that celeryfold itself writes; others are written again by their writers.
 OWN_PREFIX = "celeryfold/"
+# The platform carries calls without an answer out this much later.
+MIN_LATE_S = 2.0
+MAX_LATE_S = 12.0
+# Shorter than the time within which a lost primary is replaced.
+MAX_KILL_DELAY_S = 0.5
+ODD_ENTRIES = (
+    b'{"x":' + b"[" * 20_000 + b"]" * 20_000 + b"}",
+    b'{"service": "orders", "slots": ' + b"9" * 5_000 + b"}",
+    b'{"service": "orders", "address": "127.0.0.1:99999", "state": "ready"}',
+    b"\xff\x00",
+)
 MAX_REPEATS = 3
 REPEAT_INTERVAL_S = 0.4
 
@@ -51,8 +62,9 @@
         return self.rng.uniform(0.2, MAX_FAULT_S)
 
     def choose_database(self) -> UpstreamId:
-        """Return a random database."""
-        return self.rng.choice(sorted(self.replicas.databases))
+        """Return a random database that is not lost for good."""
+        lost = self.deployment.lost_databases
+        return self.rng.choice(sorted(set(self.replicas.databases) - lost))
 
     def choose_forwarder(self) -> Forwarder:
         """Return a random forwarder."""
@@ -169,8 +181,7 @@
         name = self.choose_database()
         self.replicas.crash(name, is_silent=self.rng.random() < 0.5)
         await trio.sleep(self.choose_duration_s())
-        if not self.replicas.databases[name].is_alive:
-            self.replicas.restart(name)
+        self.deployment.restart_database(name)
 
 
 class _CutReplication(Fault):
@@ -214,6 +225,50 @@
         self.replicas.n_promotions_to_lose = 1
 
 
+class _LatePromotion(Fault):
+    """Takes the primary away and leaves the promotion call unanswered for seconds."""
+
+    async def inject(self) -> None:
+        self.replicas.promotion_lateness_s.append(
+            self.rng.uniform(MIN_LATE_S, MAX_LATE_S)
+        )
+        leader = self.replicas.find_leader()
+        if leader is None or not leader.is_alive:
+            return
+        name = leader.upstream.upstream_id
+        self.replicas.crash(name, is_silent=self.rng.random() < 0.5)
+        await trio.sleep(self.choose_duration_s())
+        self.deployment.restart_database(name)
+
+
+class _LoseAll(Fault):
+    """Loses the primary for good and kills all processes at about the same time.
+
+    This happens once in a run: two of three databases could hold the only copies.
+    """
+
+    async def inject(self) -> None:
+        leader = self.replicas.find_leader()
+        if self.deployment.lost_databases or leader is None or not leader.is_alive:
+            return
+        name = leader.upstream.upstream_id
+        self.deployment.lost_databases.add(name)
+        self.replicas.crash(name, is_silent=self.rng.random() < 0.5)
+        await trio.sleep(self.rng.uniform(0.0, MAX_KILL_DELAY_S))
+        for instance in self.deployment.instances:
+            self.deployment.signal(instance, signal.SIGKILL)
+
+
+class _OddEntry(Fault):
+    """Leaves an entry of another writer among those of the databases."""
+
+    async def inject(self) -> None:
+        key = f"servers/odd-{self.rng.randrange(1000)}"
+        self.store.write(key, self.rng.choice(ODD_ENTRIES))
+        await trio.sleep(self.choose_duration_s())
+        self.store.delete(key)
+
+
 FAULTS.add("kill", _Kill)
 FAULTS.add("kill-all", _KillAll)
 FAULTS.add("stop", _Stop)
@@ -235,6 +290,9 @@
 FAULTS.add("leave", _Leave)
 FAULTS.add("lose-answers", _LoseAnswers)
 FAULTS.add("lose-promotion", _LosePromotion)
+FAULTS.add("late-promotion", _LatePromotion)
+FAULTS.add("lose-all", _LoseAll)
+FAULTS.add("odd-entry", _OddEntry)
 
 
 class FaultSchedule:
--- a/celeryfold/soak/tests/test_soak.py
+++ b/celeryfold/soak/tests/test_soak.py
@@ -165,3 +165,17 @@
             await exchange(stream, b"three", 5.0)
 
     run_scenario(scenario)
+
+
+# Guards the checks LOST and RECOVER against the two faults of the review: a promotion
+# that is carried out late, and a primary lost beside all processes.
+@pytest.mark.parametrize(("fault", "seed"), [("late-promotion", 1), ("lose-all", 2)])
+def test_no_promise_is_broken_by_late_promotions_or_a_loss_of_all(
+    tmp_path, fault, seed
+):
+    settings = SoakSettings(
+        n_instances=3, n_clients=6, seconds=5.0, only=(fault,), settle_s=0.0
+    )
+    report = run_soak(seed, settings, tmp_path)
+    assert not report.broken, report.injected
+    assert report.n_promotions > 0
