Do not take a restored record's word that promotion calls are settled

What callers could see: acknowledged writes missing after a late promotion, if the store had been restored from an older copy meanwhile.

Cause: the restored record is from before the last attempt and says that nothing is open. The next holder believed it, and so did the same one when it took the duty again.

Change: a record of an earlier era, or none in a later era than the first, counts as not settled; the primary is then confirmed once. A holder that takes the duty again keeps what it knows of its own calls.

Result: test_an_open_promotion_is_settled_after_a_restore_of_the_store failed before for both cases (orders-2 instead of orders-0 led at the end) and passes.

--- a/celeryfold/proxy/guardian.py
+++ b/celeryfold/proxy/guardian.py
@@ -15,6 +15,7 @@
 from ..kernel.ids import InstanceId, ServiceId, Term
 from ..kernel.metrics import Metrics
 from ..kernel.rendezvous import compute_weight
+from ..kernel.revisions import find_era
 from .clock import Clock
 from .control_book import ControlConnections
 from .directory import MISSING_GRACE_S, Directory
@@ -68,6 +69,8 @@
 CATCH_UP_POLL_S = 0.05
 STEP_RETRY_S = 0.2
 N_PROMOTION_ATTEMPTS = 8
+# A store that was never restored reports this era, or none.
+FIRST_ERA = 1
 # Instances try to take a vacant duty one after the other, in the order of their rank.
 DELAY_PER_RANK_S = 0.6
 
@@ -284,11 +287,21 @@
             await self._controls.drop(member)
         is_attempt_open = record.turn_of not in ("", self._ports.me)
         self._act_after = now + LEASE_TTL_S if is_attempt_open else now
-        self._calls.restore(record.is_settled)
+        self._calls.restore(record.is_settled and self._is_up_to_date(record))
         self._may_be_paused = record.turn_of != ""
         self._has_record = True
         self._controls.assume_all_paused()
 
+    def _is_up_to_date(self, record: DutyRecord) -> bool:
+        """Return whether no later record can have been lost by a restore of the store.
+
+        Without a record, none can have been in the first era.
+        """
+        era = self._ports.store.era
+        if record.as_of is None:
+            return era <= FIRST_ERA
+        return find_era(record.as_of) == era
+
     async def _begin_attempt(self) -> None:
         """Confirm the duty in the store and record that an attempt has begun.
 
--- a/celeryfold/proxy/promotion_calls.py
+++ b/celeryfold/proxy/promotion_calls.py
@@ -26,11 +26,12 @@
         return self._named
 
     def restore(self, is_settled: bool) -> None:
-        """Apply the record of the previous holder of the duty.
+        """Apply the record of the previous holder; own calls stay open.
 
         :param is_settled: whether none of its calls can depose the primary any more.
         """
-        self._named = frozenset() if is_settled else None
+        if not is_settled:
+            self._named = None
 
     def may_depose(self, primary: UpstreamId) -> bool:
         """Return whether an open call may name an upstream other than the primary."""
--- a/celeryfold/proxy/tests/test_late_promotions.py
+++ b/celeryfold/proxy/tests/test_late_promotions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 import trio
 
 from celeryfold.kernel.ids import UpstreamId
@@ -19,6 +20,7 @@
     find_leader_id,
     wait_written,
 )
+from .test_restored_store import OWN_PREFIX
 from .test_sessions import run_scenario
 
 PRIMARY = Consistency.PRIMARY
@@ -180,3 +182,29 @@
         assert find_leader_id(deployment) == leader
 
     check_nothing_lost(run_scenario(scenario))
+
+
+# Guards against a restored record that does not tell of the latest calls.
+@pytest.mark.parametrize("is_holder_killed", [True, False])
+def test_an_open_promotion_is_settled_after_a_restore_of_the_store(is_holder_killed):
+    async def scenario(deployment: SimulatedDeployment) -> None:
+        await trio.sleep(1.0)
+        copy = deployment.store.copy()
+        deployment.replicas.promotion_lateness_s = [20.0] * N_PROMOTION_ATTEMPTS
+        deployment.replicas.crash(FIRST, is_silent=True)
+        await wait_unanswered(deployment)
+        guardian = deployment.find_guardian()
+        assert guardian is not None
+        if is_holder_killed:
+            deployment.kill(guardian)
+        deployment.store.restore(copy, OWN_PREFIX)
+        deployment.replicas.promotion_lateness_s.clear()
+        deployment.replicas.restart(FIRST)
+        other = (guardian + 1) % 3
+        await wait_written(deployment, other, 15.0)
+        leader = find_leader_id(deployment)
+        await write_without(deployment, THIRD if leader == FIRST else FIRST, other)
+        await trio.sleep(22.0)
+        assert find_leader_id(deployment) == leader
+
+    check_nothing_lost(run_scenario(scenario))
