Take an odd address of a peer or an upstream for one that cannot be reached

What callers could see: instances that exchange no configuration, samples or members any more. Found by trying each field that a peer sends.

Cause: an address that is none raised an error of the socket library in the exchange with all peers, again after each restart of it, and an upstream's address in a listing of a peer raised one where connections are opened.

Change: both count as unreachable.

--- a/celeryfold/links/zmq_link.py
+++ b/celeryfold/links/zmq_link.py
@@ -254,7 +254,11 @@
             socket.curve_serverkey = self._keys.public
             socket.curve_publickey = self._keys.public
             socket.curve_secretkey = self._keys.secret
-        socket.connect(f"tcp://{address}")
+        try:
+            socket.connect(f"tcp://{address}")
+        except (zmq.ZMQError, *DECODE_ERRORS) as error:
+            socket.close(linger=0)
+            raise PeerUnreachable(f"{address!r} is no address of a peer") from error
         peer = self._peers[address] = _PeerConnection(socket)
         self._nursery.start_soon(self._receive, peer)
         return peer
--- a/celeryfold/platform/connections.py
+++ b/celeryfold/platform/connections.py
@@ -176,9 +176,9 @@
         """
         caller = account if account != NO_ACCOUNT else self._caller
         _check_names(upstream, caller, account)
-        host, port = split_address(upstream.address)
         connection: LineConnection | None = None
         try:
+            host, port = split_address(upstream.address)
             with trio.fail_after(CONNECT_TIMEOUT_S):
                 connection = LineConnection(await open_line_stream(host, port))
                 await connection.start(upstream.service, caller, upstream.upstream_id)
@@ -190,7 +190,9 @@
             text = f"{upstream.upstream_id} at {upstream.address}: {error!r}"
             if isinstance(error, ConnectionRefusedError):
                 raise ConnectFailed(ConnectFailure.REFUSED, text) from error
-            if isinstance(error, OSError | trio.TooSlowError | ConnectionLost):
+            is_bad_address = isinstance(error, ValueError | OverflowError)
+            is_lost = isinstance(error, OSError | trio.TooSlowError | ConnectionLost)
+            if is_lost or is_bad_address:
                 raise ConnectFailed(ConnectFailure.UNREACHABLE, text) from error
             raise
 
