Test a failover beside an entry that cannot be decoded

The trial of the report, without processes: a nested entry beside the good ones, then the primary crashes.

--- a/celeryfold/proxy/tests/test_failover.py
+++ b/celeryfold/proxy/tests/test_failover.py
@@ -10,7 +10,7 @@
 from celeryfold.proxy.routes import Consistency
 from celeryfold.proxy.statements import Read, Write
 from celeryfold.proxy.upstream import UpstreamRole
-from celeryfold.standins.deployment import SimulatedDeployment
+from celeryfold.standins.deployment import MemoryDecoder, SimulatedDeployment
 
 from .test_sessions import get_kind, run_scenario
 
@@ -584,3 +584,15 @@
         assert find_leader_id(deployment) == THIRD
 
     check_nothing_lost(run_scenario(scenario))
+
+
+# Guards against an entry of another writer that prevents each failover.
+def test_a_primary_is_replaced_beside_an_entry_that_cannot_be_decoded():
+    async def scenario(deployment: SimulatedDeployment) -> None:
+        nested = b'{"x": ' + b"[" * 50_000 + b"]" * 50_000 + b"}"
+        deployment.store.write(f"{MemoryDecoder.upstream_prefix}odd", nested)
+        await trio.sleep(3.0)
+        deployment.replicas.crash(FIRST)
+        assert await wait_written(deployment, 1, 10.0) < 5.0
+
+    check_nothing_lost(run_scenario(scenario))
