Move the requests for promotions out of the guardian

Promoter holds what is requested from the platform, under which token, and which calls are open; the guardian decides when. No change in behaviour; the tests of failover, late calls, duties and restores pass unchanged but for one import.

--- a/celeryfold/proxy/guardian.py
+++ b/celeryfold/proxy/guardian.py
@@ -29,13 +29,8 @@
 )
 from .peers import PeerTable
 from .positions import LogPosition
-from .promotion_calls import PromotionCalls
-from .promotions import (
-    PromotionNotMade,
-    PromotionRefused,
-    Promotions,
-    PromotionUnanswered,
-)
+from .promoter import Promoter
+from .promotions import Promotions
 from .samples import Sample, SampleHistory
 from .store import CoordinationStore
 from .upstream import Connector, Upstream, UpstreamRole, UpstreamStatus
@@ -56,19 +51,12 @@
 PEER_CONTACT_MAX_AGE_S = 0.5
 # A service that never had a primary gets this time to start one by itself.
 FIRST_PRIMARY_TIMEOUT_S = 4.0
-# A promoted upstream becomes the primary within about a second.
-PROMOTION_TIMEOUT_S = 2.5
-PROMOTION_POLL_S = 0.1
-# Delay before an unanswered promotion is requested again; the first request may still
-# take effect.
-PROMOTION_RETRY_S = 0.25
 # Interval at which open promotion calls are settled while the platform does not answer.
 SETTLE_INTERVAL_S = 1.0
 # Time for a replica to receive the remaining entries of a demoted primary.
 CATCH_UP_TIMEOUT_S = 1.0
 CATCH_UP_POLL_S = 0.05
 STEP_RETRY_S = 0.2
-N_PROMOTION_ATTEMPTS = 8
 # A store that was never restored reports this era, or none.
 FIRST_ERA = 1
 # Instances try to take a vacant duty one after the other, in the order of their rank.
@@ -123,17 +111,24 @@
         )
         self._ack_set = AckSet()
         self._n_watch_gaps = 0
-        self._attempt_at = -math.inf
+        self._promoter = Promoter(
+            service,
+            ports.me,
+            duty,
+            self._controls,
+            ports.promotions,
+            ports.samples,
+            ports.clock,
+            ports.metrics,
+        )
+        self._begun_at = -math.inf
         self._started_at = ports.clock()
         self._vacant_since = math.inf
         self._act_after = math.inf
-        self._calls = PromotionCalls()
-        self._settled_at = -math.inf
         # Whether the record of the previous holder was read since the duty was taken.
         self._has_record = False
         # Whether a failover attempt may have left replicas paused.
         self._may_be_paused = False
-        self._promoted_at = -math.inf
 
     @property
     def is_on_duty(self) -> bool:
@@ -197,13 +192,18 @@
         if leader is not None and leader.is_leaving:
             await self._hand_over(leader, newest)
 
+    @property
+    def _last_attempt_at(self) -> float:
+        """When an attempt was last begun, or a promotion last requested."""
+        return max(self._begun_at, self._promoter.requested_at)
+
     async def _update_record(self, newest: Sample | None) -> None:
         """Write the record for the next holder if it has changed."""
-        is_attempt_open = self._clock() - self._attempt_at < LEASE_TTL_S
+        is_attempt_open = self._clock() - self._last_attempt_at < LEASE_TTL_S
         attempt_by = self._ports.me if is_attempt_open else ""
         is_settled = self._record.record.is_settled
         if newest is not None and self._clock() - newest.taken_at <= PRIMARY_TIMEOUT_S:
-            is_settled = not self._calls.may_depose(newest.upstream)
+            is_settled = not self._promoter.may_depose(newest.upstream)
         await self._record.update(self._make_record(attempt_by, is_settled))
 
     def _make_record(self, turn_of: str, is_settled: bool) -> DutyRecord:
@@ -287,7 +287,7 @@
             await self._controls.drop(member)
         is_attempt_open = record.turn_of not in ("", self._ports.me)
         self._act_after = now + LEASE_TTL_S if is_attempt_open else now
-        self._calls.restore(record.is_settled and self._is_up_to_date(record))
+        self._promoter.restore(record.is_settled and self._is_up_to_date(record))
         self._may_be_paused = record.turn_of != ""
         self._has_record = True
         self._controls.assume_all_paused()
@@ -313,7 +313,7 @@
         """
         await self._ports.watcher.read_upstreams()
         self._refresh()
-        self._attempt_at = self._clock()
+        self._begun_at = self._clock()
         await self._record.confirm(self._make_record(self._ports.me, is_settled=False))
 
     async def _drop_covered_members(self, newest: Sample) -> None:
@@ -338,14 +338,14 @@
         Only listed upstreams are sampled regularly. A replica that was promoted right
         after it came back is listed a moment later.
         """
-        is_new = self._clock() - self._promoted_at < MISSING_GRACE_S
+        is_new = self._clock() - self._promoter.promoted_at < MISSING_GRACE_S
         is_overdue = self._clock() - newest.taken_at > SAMPLE_OVERDUE_S
         if not is_new or not is_overdue:
             return False
         if self._ports.directory.find(newest.upstream) is not None:
             return False
         member = self._controls.find_member(newest.upstream)
-        return member is not None and await self._sample_if_leader(member)
+        return member is not None and await self._promoter.sample_if_leader(member)
 
     async def _is_primary_refusing(self, newest: Sample) -> bool:
         """Return whether a sample is overdue and the primary refuses connections."""
@@ -460,19 +460,10 @@
         for member, status in statuses.items():
             if status.role is not UpstreamRole.PRIMARY:
                 continue
-            if await self._sample_if_leader(member):
+            if await self._promoter.sample_if_leader(member):
                 return True
         return False
 
-    async def _sample_if_leader(self, member: Member) -> bool:
-        asked_at = self._clock()
-        position = await self._controls.read_leader_position(member)
-        if position is None:
-            return False
-        sample = Sample(member.upstream_id, position, asked_at)
-        self._ports.samples.add(self.service, sample)
-        return True
-
     def _find_next_term(
         self, statuses: dict[Member, UpstreamStatus], newest: Sample | None
     ) -> Term:
@@ -521,6 +512,14 @@
                 await trio.sleep(CATCH_UP_POLL_S)
         return None
 
+    async def _promote(
+        self, chosen: Member, term: Term, paused: Collection[Member]
+    ) -> None:
+        """Promote a member, and let replicas receive again once it is the primary."""
+        if await self._promoter.promote(chosen, term, paused):
+            await self._controls.resume_all()
+            self._may_be_paused = False
+
     async def _settle_calls(self, newest: Sample) -> bool:
         """Have the platform refuse the open calls that could depose the primary.
 
@@ -531,101 +530,22 @@
 
         :returns: whether no open call can depose the primary any more.
         """
-        if not self._calls.may_depose(newest.upstream):
-            # A call that was accepted before may take this long to take effect.
-            return self._clock() - self._settled_at > PROMOTION_TIMEOUT_S
-        if self._clock() - self._attempt_at < SETTLE_INTERVAL_S:
+        if not self._promoter.may_depose(newest.upstream):
+            return not self._promoter.may_call_take_effect
+        if self._clock() - self._last_attempt_at < SETTLE_INTERVAL_S:
             return False
         if not self._may_be_paused or not await self._fail_over(newest):
             await self._confirm_primary(newest)
         return False
 
     async def _confirm_primary(self, newest: Sample) -> None:
-        """Request the promotion of the primary itself.
-
-        This changes nothing, but the answer shows that older tokens are refused.
-        """
+        """Request the promotion of the primary itself if it still leads."""
         primary = self._controls.find_member(newest.upstream)
-        if primary is None or not await self._sample_if_leader(primary):
+        if primary is None or not await self._promoter.sample_if_leader(primary):
             return
         self._log_attempt("primary confirmed at the platform", newest)
         await self._begin_attempt()
-        await self._take_token_for(primary)
-        await self._request_promotion(primary, newest.position.term)
-        self._settled_at = self._clock()
-
-    async def _take_token_for(self, chosen: Member) -> None:
-        """Take a newer token if the present one has named another upstream."""
-        token = self._duty.require_token()
-        if self._calls.needs_newer_token(token, chosen.upstream_id):
-            await self._duty.renew_token()
-
-    async def _promote(
-        self, chosen: Member, term: Term, paused: Collection[Member]
-    ) -> None:
-        """Promote a member and wait until it is the primary.
-
-        :param paused: members that have to stay paused until then. A member that
-            restarts receives entries again and may acknowledge commits that the chosen
-            member lacks, so the attempt ends.
-        """
-        await self._take_token_for(chosen)
-        for _ in range(N_PROMOTION_ATTEMPTS):
-            if not self._controls.are_open(paused):
-                return
-            wait_s = await self._request_promotion(chosen, term)
-            is_leader = await self._wait_until_leader(chosen, wait_s)
-            if is_leader and not self._calls.may_depose(chosen.upstream_id):
-                extra = {"service": self.service, "upstream": chosen.upstream_id}
-                log.info("primary changed", extra=extra)
-                self._promoted_at = self._clock()
-                await self._controls.resume_all()
-                self._may_be_paused = False
-                return
-
-    async def _request_promotion(self, chosen: Member, term: Term) -> float:
-        """Request a promotion.
-
-        :returns: seconds to wait for the promotion before it is requested again.
-        :raises PromotionRefused: if the token is old or the upstream is down; a newer
-            token has been taken.
-        """
-        token = self._duty.require_token()
-        self._attempt_at = self._clock()
-        extra: dict[str, object] = {
-            "service": self.service,
-            "upstream": chosen.upstream_id,
-            "term": term,
-            "token": token,
-        }
-        log.info("promotion ordered", extra=extra)
-        named_before = self._calls.named
-        self._calls.record_sent(token, chosen.upstream_id)
-        self._ports.metrics.count("failover.ordered")
-        try:
-            await self._ports.promotions.promote(
-                self.service, chosen.upstream_id, self._ports.me, token
-            )
-        except PromotionRefused:
-            await self._duty.renew_token()
-            raise
-        except PromotionNotMade as error:
-            self._calls.record_not_made(named_before)
-            log.warning("promotion not made", extra={**extra, "reason": str(error)})
-            return PROMOTION_RETRY_S
-        except PromotionUnanswered as error:
-            log.warning("promotion unanswered", extra={**extra, "reason": str(error)})
-            return PROMOTION_RETRY_S
-        self._calls.record_answered(chosen.upstream_id)
-        return PROMOTION_TIMEOUT_S
-
-    async def _wait_until_leader(self, chosen: Member, wait_s: float) -> bool:
-        with trio.move_on_after(wait_s):
-            while True:
-                if await self._sample_if_leader(chosen):
-                    return True
-                await trio.sleep(PROMOTION_POLL_S)
-        return False
+        await self._promoter.confirm(primary, newest.position.term)
 
     def _log_attempt(self, text: str, newest: Sample | None, **inputs: object) -> None:
         extra: dict[str, object] = {"service": self.service, **inputs}
--- /dev/null
+++ b/celeryfold/proxy/promoter.py
@@ -0,0 +1,179 @@
+"""Requests for the promotion of upstreams, under the fencing token of a duty."""
+
+from __future__ import annotations
+
+__all__ = ["N_PROMOTION_ATTEMPTS", "Promoter"]
+
+import logging
+import math
+from collections.abc import Collection
+
+import trio
+
+from ..kernel.ids import InstanceId, ServiceId, Term, UpstreamId
+from ..kernel.metrics import Metrics
+from .clock import Clock
+from .control_book import ControlConnections
+from .leases import Duty
+from .members import Member
+from .promotion_calls import PromotionCalls
+from .promotions import (
+    PromotionNotMade,
+    PromotionRefused,
+    Promotions,
+    PromotionUnanswered,
+)
+from .samples import Sample, SampleHistory
+
+log = logging.getLogger(__name__)
+
+# A promoted upstream becomes the primary within about a second.
+PROMOTION_TIMEOUT_S = 2.5
+PROMOTION_POLL_S = 0.1
+# Delay before an unanswered promotion is requested again; the first request may still
+# take effect.
+PROMOTION_RETRY_S = 0.25
+N_PROMOTION_ATTEMPTS = 8
+
+
+class Promoter:
+    """Promotes members of one service and tracks which calls may still take effect.
+
+    :param me: the id of this instance.
+    """
+
+    def __init__(
+        self,
+        service: ServiceId,
+        me: InstanceId,
+        duty: Duty,
+        controls: ControlConnections,
+        promotions: Promotions,
+        samples: SampleHistory,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self._service = service
+        self._me = me
+        self._duty = duty
+        self._controls = controls
+        self._promotions = promotions
+        self._samples = samples
+        self._clock = clock
+        self._metrics = metrics
+        self._calls = PromotionCalls()
+        self._confirmed_at = -math.inf
+        # When a promotion was last requested, and when one last succeeded.
+        self.requested_at = -math.inf
+        self.promoted_at = -math.inf
+
+    def restore(self, is_settled: bool) -> None:
+        """Apply the record of the previous holder of the duty.
+
+        :param is_settled: whether none of its calls can depose the primary any more.
+        """
+        self._calls.restore(is_settled)
+
+    def may_depose(self, primary: UpstreamId) -> bool:
+        """Return whether an open call may name an upstream other than the primary."""
+        return self._calls.may_depose(primary)
+
+    @property
+    def may_call_take_effect(self) -> bool:
+        """Whether a call accepted before a confirmation may still take effect."""
+        return self._clock() - self._confirmed_at <= PROMOTION_TIMEOUT_S
+
+    async def sample_if_leader(self, member: Member) -> bool:
+        """Return whether a member leads; if so, add a sample of it."""
+        asked_at = self._clock()
+        position = await self._controls.read_leader_position(member)
+        if position is None:
+            return False
+        sample = Sample(member.upstream_id, position, asked_at)
+        self._samples.add(self._service, sample)
+        return True
+
+    async def confirm(self, primary: Member, term: Term) -> None:
+        """Request the promotion of the present primary.
+
+        This changes nothing, but the answer shows that older tokens are refused.
+
+        :raises CeleryfoldError: if the platform refused it, or the duty may be lost.
+        """
+        await self._take_token_for(primary)
+        await self._request(primary, term)
+        self._confirmed_at = self._clock()
+
+    async def promote(
+        self, chosen: Member, term: Term, paused: Collection[Member]
+    ) -> bool:
+        """Promote a member and wait until it is the primary.
+
+        :param paused: members that have to stay paused until then. A member that
+            restarts receives entries again and may acknowledge commits that the chosen
+            member lacks, so the attempt ends.
+        :returns: whether it is the primary and no open call can depose it.
+        :raises CeleryfoldError: if the platform refused it, or the duty may be lost.
+        """
+        await self._take_token_for(chosen)
+        for _ in range(N_PROMOTION_ATTEMPTS):
+            if not self._controls.are_open(paused):
+                return False
+            wait_s = await self._request(chosen, term)
+            is_leader = await self._wait_until_leader(chosen, wait_s)
+            if is_leader and not self._calls.may_depose(chosen.upstream_id):
+                extra = {"service": self._service, "upstream": chosen.upstream_id}
+                log.info("primary changed", extra=extra)
+                self.promoted_at = self._clock()
+                return True
+        return False
+
+    async def _take_token_for(self, chosen: Member) -> None:
+        """Take a newer token if the present one has named another upstream."""
+        token = self._duty.require_token()
+        if self._calls.needs_newer_token(token, chosen.upstream_id):
+            await self._duty.renew_token()
+
+    async def _request(self, chosen: Member, term: Term) -> float:
+        """Request a promotion.
+
+        :returns: seconds to wait for the promotion before it is requested again.
+        :raises PromotionRefused: if the token is old or the upstream is down; a newer
+            token has been taken.
+        """
+        token = self._duty.require_token()
+        self.requested_at = self._clock()
+        extra: dict[str, object] = {
+            "service": self._service,
+            "upstream": chosen.upstream_id,
+            "term": term,
+            "token": token,
+        }
+        log.info("promotion ordered", extra=extra)
+        named_before = self._calls.named
+        self._calls.record_sent(token, chosen.upstream_id)
+        self._metrics.count("failover.ordered")
+        try:
+            await self._promotions.promote(
+                self._service, chosen.upstream_id, self._me, token
+            )
+        except PromotionRefused:
+            await self._duty.renew_token()
+            raise
+        except PromotionNotMade as error:
+            self._calls.record_not_made(named_before)
+            log.warning("promotion not made", extra={**extra, "reason": str(error)})
+            return PROMOTION_RETRY_S
+        except PromotionUnanswered as error:
+            log.warning("promotion unanswered", extra={**extra, "reason": str(error)})
+            return PROMOTION_RETRY_S
+        self._calls.record_answered(chosen.upstream_id)
+        return PROMOTION_TIMEOUT_S
+
+    async def _wait_until_leader(self, chosen: Member, wait_s: float) -> bool:
+        with trio.move_on_after(wait_s):
+            while True:
+                if await self.sample_if_leader(chosen):
+                    return True
+                await trio.sleep(PROMOTION_POLL_S)
+        return False
--- a/celeryfold/proxy/tests/test_late_promotions.py
+++ b/celeryfold/proxy/tests/test_late_promotions.py
@@ -6,7 +6,7 @@
 import trio
 
 from celeryfold.kernel.ids import UpstreamId
-from celeryfold.proxy.guardian import N_PROMOTION_ATTEMPTS
+from celeryfold.proxy.promoter import N_PROMOTION_ATTEMPTS
 from celeryfold.proxy.routes import Consistency
 from celeryfold.proxy.statements import Write
 from celeryfold.proxy.store import Item, StoreUnavailable
