--- a/celeryfold/proxy/tests/test_failover.py
+++ b/celeryfold/proxy/tests/test_failover.py
@@ -589,7 +589,9 @@
 # Guards against an entry of another writer that prevents each failover.
 def test_a_primary_is_replaced_beside_an_entry_that_cannot_be_decoded():
     async def scenario(deployment: SimulatedDeployment) -> None:
-        nested = b'{"x": ' + b"[" * 50_000 + b"]" * 50_000 + b"}"
+        # An entry is an array in the stand-in, and further elements are ignored.
+        entry = b'["odd", "orders", "h:1", "here", 2, 1, false, null, '
+        nested = entry + b"[" * 50_000 + b"]" * 50_000 + b"]"
         deployment.store.write(f"{MemoryDecoder.upstream_prefix}odd", nested)
         await trio.sleep(3.0)
         deployment.replicas.crash(FIRST)
