Count promotion calls as open only where one may really be

Cause: an attempt counted as open before any call was sent, also where members were absent and none could follow; an answered call stayed open for good; and a settling guardian paused replicas although nothing could be promoted. Seen in the logs: "promotion waits for members" at 8.1 s, and settling of calls that nobody had sent until 13.7 s.

Change: the record says that calls may be open only if a call is likely, or just before one is sent. A call that was answered or refused is not open; a repeated one without an answer still is. The primary's return leads to a pause only if a replica can probably be promoted.

--- a/celeryfold/proxy/guardian.py
+++ b/celeryfold/proxy/guardian.py
@@ -302,19 +302,22 @@
             return era <= FIRST_ERA
         return find_era(record.as_of) == era
 
-    async def _begin_attempt(self) -> None:
+    async def _begin_attempt(self, may_request: bool) -> None:
         """Confirm the duty in the store and record that an attempt has begun.
 
         The upstreams are read again from the store: a replica that was listed a moment
         ago may already have acknowledged commits.
 
+        :param may_request: whether a promotion call will probably follow. The record
+            then says that calls may be open.
         :raises CeleryfoldError: if the duty was not confirmed; no upstream may be
             paused, demoted or promoted then.
         """
         await self._ports.watcher.read_upstreams()
         self._refresh()
         self._begun_at = self._clock()
-        await self._record.confirm(self._make_record(self._ports.me, is_settled=False))
+        is_settled = self._record.record.is_settled and not may_request
+        await self._record.confirm(self._make_record(self._ports.me, is_settled))
 
     async def _drop_covered_members(self, newest: Sample) -> None:
         """Drop missing members whose acknowledged commits another replica holds."""
@@ -366,12 +369,16 @@
         self._ports.metrics.count("failover.suspected")
         await self._fail_over(latest)
 
-    async def _fail_over(self, newest: Sample | None) -> bool:
+    async def _fail_over(
+        self, newest: Sample | None, is_primary_back: bool = False
+    ) -> bool:
         """Find the current leader, or pause all replicas and promote one of them.
 
         The replica that has received most is promoted. The lost primary is not asked,
         since it has just failed to answer.
 
+        :param is_primary_back: whether the primary answers. Nothing is paused then
+            unless a replica can probably be promoted.
         :returns: whether there is another leader or a replica was chosen.
         """
         lost_id = newest.upstream if newest is not None else None
@@ -379,7 +386,10 @@
         statuses = await self._controls.read_statuses(others)
         if await self._find_current_leader(statuses):
             return True
-        await self._begin_attempt()
+        is_choice_likely = self._choose_successor(statuses, newest) is not None
+        if is_primary_back and not is_choice_likely:
+            return False
+        await self._begin_attempt(may_request=is_choice_likely)
         if self._may_entries_reappear():
             self._log_attempt("promotion waits for entries to come back", newest)
             return False
@@ -396,6 +406,7 @@
             paused |= await self._pause_replicas(list(statuses), statuses, term)
             chosen = self._choose_successor(paused, newest)
         if chosen is None:
+            self._log_waiting(paused, newest)
             return False
         await self._promote(chosen, term, paused.keys())
         return True
@@ -417,22 +428,41 @@
         return {m: status for m, status in paused.items() if status.role is not primary}
 
     def _choose_successor(
-        self, paused: dict[Member, UpstreamStatus], newest: Sample | None
+        self, statuses: dict[Member, UpstreamStatus], newest: Sample | None
     ) -> Member | None:
-        """Return the member to promote, or None if others may hold the only copy."""
+        """Return the member to promote, or None if others may hold the only copy.
+
+        :param statuses: the statuses of the paused members.
+        """
+        replicas = {
+            member: status
+            for member, status in statuses.items()
+            if status.role is UpstreamRole.REPLICA
+        }
         missing = self._ack_set.list_missing()
-        progress_of = self._controls.find_progress(paused, missing)
-        members, in_doubt = self._ack_set.members, self._ack_set.in_doubt
-        last_seen = self._ports.samples.find_highest_position(self.service)
-        if last_seen is None:
-            in_doubt |= self._ack_set.dropped
-        lost_id = newest.upstream if newest is not None else None
-        chosen = choose_successor(members, progress_of, lost_id, in_doubt, last_seen)
-        if chosen is None:
-            absent = {m.upstream_id for m in members | in_doubt if m not in paused}
-            text, told = "promotion waits for members", str(last_seen)
-            self._log_attempt(text, newest, absent=sorted(absent), told=told)
-        return chosen
+        return choose_successor(
+            self._ack_set.members,
+            self._controls.find_progress(replicas, missing),
+            newest.upstream if newest is not None else None,
+            self._list_doubted(),
+            self._ports.samples.find_highest_position(self.service),
+        )
+
+    def _list_doubted(self) -> frozenset[Member]:
+        """Return the dropped members that may have acknowledged commits unseen."""
+        if self._ports.samples.find_highest_position(self.service) is None:
+            return self._ack_set.in_doubt | self._ack_set.dropped
+        return self._ack_set.in_doubt
+
+    def _log_waiting(
+        self, paused: dict[Member, UpstreamStatus], newest: Sample | None
+    ) -> None:
+        expected = self._ack_set.members | self._list_doubted()
+        absent = sorted({m.upstream_id for m in expected if m not in paused})
+        told = str(self._ports.samples.find_highest_position(self.service))
+        self._log_attempt(
+            "promotion waits for members", newest, absent=absent, told=told
+        )
 
     def _may_entries_reappear(self) -> bool:
         """Return whether a member in doubt may still be listed again.
@@ -489,7 +519,7 @@
         ):
             return
         self._log_attempt("primary leaves", newest)
-        await self._begin_attempt()
+        await self._begin_attempt(may_request=True)
         term = self._find_next_term(statuses, newest)
         final_position = await self._controls.demote(leaving, term)
         chosen = await self._wait_caught_up(final_position)
@@ -515,7 +545,11 @@
     async def _promote(
         self, chosen: Member, term: Term, paused: Collection[Member]
     ) -> None:
-        """Promote a member, and let replicas receive again once it is the primary."""
+        """Promote a member, and let replicas receive again once it is the primary.
+
+        The next holder has to know of the call before it is sent.
+        """
+        await self._record.update(self._make_record(self._ports.me, is_settled=False))
         if await self._promoter.promote(chosen, term, paused):
             await self._controls.resume_all()
             self._may_be_paused = False
@@ -532,9 +566,9 @@
         """
         if not self._promoter.may_depose(newest.upstream):
             return not self._promoter.may_call_take_effect
-        if self._clock() - self._last_attempt_at < SETTLE_INTERVAL_S:
+        if self._clock() - self._promoter.requested_at < SETTLE_INTERVAL_S:
             return False
-        if not self._may_be_paused or not await self._fail_over(newest):
+        if not self._may_be_paused or not await self._fail_over(newest, True):
             await self._confirm_primary(newest)
         return False
 
@@ -544,7 +578,7 @@
         if primary is None or not await self._promoter.sample_if_leader(primary):
             return
         self._log_attempt("primary confirmed at the platform", newest)
-        await self._begin_attempt()
+        await self._begin_attempt(may_request=True)
         await self._promoter.confirm(primary, newest.position.term)
 
     def _log_attempt(self, text: str, newest: Sample | None, **inputs: object) -> None:
--- a/celeryfold/proxy/promoter.py
+++ b/celeryfold/proxy/promoter.py
@@ -27,6 +27,9 @@
 
 log = logging.getLogger(__name__)
 
+# An accepted call takes effect within this time: some hundred milliseconds, and up to
+# a second on a slow upstream.
+PROMOTION_DURATION_S = 1.5
 # A promoted upstream becomes the primary within about a second.
 PROMOTION_TIMEOUT_S = 2.5
 PROMOTION_POLL_S = 0.1
@@ -81,7 +84,7 @@
     @property
     def may_call_take_effect(self) -> bool:
         """Whether a call accepted before a confirmation may still take effect."""
-        return self._clock() - self._confirmed_at <= PROMOTION_TIMEOUT_S
+        return self._clock() - self._confirmed_at <= PROMOTION_DURATION_S
 
     async def sample_if_leader(self, member: Member) -> bool:
         """Return whether a member leads; if so, add a sample of it."""
@@ -94,15 +97,21 @@
         return True
 
     async def confirm(self, primary: Member, term: Term) -> None:
-        """Request the promotion of the present primary.
+        """Request the promotion of the present primary, until there is an answer.
 
         This changes nothing, but the answer shows that older tokens are refused.
 
         :raises CeleryfoldError: if the platform refused it, or the duty may be lost.
         """
         await self._take_token_for(primary)
-        await self._request(primary, term)
-        self._confirmed_at = self._clock()
+        for _ in range(N_PROMOTION_ATTEMPTS):
+            wait_s = await self._request(primary, term)
+            self._confirmed_at = self._clock()
+            if not self._calls.may_depose(primary.upstream_id):
+                return
+            await trio.sleep(wait_s)
+            if not await self.sample_if_leader(primary):
+                return
 
     async def promote(
         self, chosen: Member, term: Term, paused: Collection[Member]
@@ -158,6 +167,7 @@
                 self._service, chosen.upstream_id, self._me, token
             )
         except PromotionRefused:
+            self._calls.record_not_made(named_before)
             await self._duty.renew_token()
             raise
         except PromotionNotMade as error:
--- a/celeryfold/proxy/promotion_calls.py
+++ b/celeryfold/proxy/promotion_calls.py
@@ -18,6 +18,8 @@
     def __init__(self) -> None:
         self._token = 0
         self._target: UpstreamId | None = None
+        # The calls with this token that have no answer.
+        self._n_unanswered = 0
         self._named: frozenset[UpstreamId] | None = frozenset()
 
     @property
@@ -47,18 +49,23 @@
 
     def record_sent(self, token: int, target: UpstreamId) -> None:
         """Record a call before it is sent."""
+        if token != self._token:
+            self._n_unanswered = 0
+        self._n_unanswered += 1
         self._token = token
         self._target = target
         if self._named is not None:
             self._named |= {target}
 
     def record_not_made(self, before: frozenset[UpstreamId] | None) -> None:
-        """Record that the latest call is never carried out.
+        """Record that the latest call is never carried out from now on.
 
         :param before: the value of :attr:`named` before the call.
         """
+        self._n_unanswered -= 1
         self._named = before
 
     def record_answered(self, target: UpstreamId) -> None:
         """Record that the platform has accepted the latest call."""
-        self._named = frozenset((target,))
+        self._n_unanswered -= 1
+        self._named = frozenset((target,)) if self._n_unanswered else frozenset()
--- a/celeryfold/proxy/tests/test_late_call_exploration.py
+++ b/celeryfold/proxy/tests/test_late_call_exploration.py
@@ -43,15 +43,17 @@
     token: int = 0
     target: UpstreamId | None = None
     named: frozenset[UpstreamId] | None = frozenset()
+    n_unanswered: int = 0
 
     def load(self) -> PromotionCalls:
         calls = PromotionCalls()
         calls._token, calls._target, calls._named = self.token, self.target, self.named
+        calls._n_unanswered = self.n_unanswered
         return calls
 
 
 def save(calls: PromotionCalls) -> Knowledge:
-    return Knowledge(calls._token, calls._target, calls._named)
+    return Knowledge(calls._token, calls._target, calls._named, calls._n_unanswered)
 
 
 class State(Struct, frozen=True):
