--- a/celeryfold/platform/standins.py
+++ b/celeryfold/platform/standins.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-__all__ = ["PlatformStandin"]
+__all__ = ["ODD_ENTRIES", "PlatformStandin"]
 
 import base64
 from collections.abc import Collection
@@ -71,6 +71,15 @@
 REPLY_TIMEOUT_S = 4.0
 
 
+# Entries of another writer that name no database.
+ODD_ENTRIES = (
+    b'{"x":' + b"[" * 20_000 + b"]" * 20_000 + b"}",
+    b'{"service": "orders", "slots": ' + b"9" * 5_000 + b"}",
+    b'{"service": "orders", "address": "127.0.0.1:99999", "state": "ready"}',
+    b"\xff\x00",
+)
+
+
 class PlatformStandin:
     """Serves one replicated database, the store and promotions on loopback.
 
@@ -143,6 +152,14 @@
                 return
         self.store.write(key, msgspec.json.encode(entry))
 
+    def write_odd_entry(self, name: UpstreamId, value: bytes) -> None:
+        """Write an entry of another writer among those of the databases."""
+        self.store.write(f"servers/{name}", value)
+
+    def delete_entry(self, name: UpstreamId) -> None:
+        """Delete an entry among those of the databases."""
+        self.store.delete(f"servers/{name}")
+
     def publish(
         self,
         version: int,
--- a/celeryfold/soak/faults.py
+++ b/celeryfold/soak/faults.py
@@ -13,6 +13,7 @@
 
 from ..kernel.ids import UpstreamId
 from ..kernel.registry import Registry
+from ..platform.standins import ODD_ENTRIES
 from ..standins.database import Database
 from .deployment import SoakDeployment
 from .forwarder import Forwarder
@@ -34,12 +35,6 @@
 MAX_LATE_S = 12.0
 # Shorter than the time within which a lost primary is replaced.
 MAX_KILL_DELAY_S = 0.5
-ODD_ENTRIES = (
-    b'{"x":' + b"[" * 20_000 + b"]" * 20_000 + b"}",
-    b'{"service": "orders", "slots": ' + b"9" * 5_000 + b"}",
-    b'{"service": "orders", "address": "127.0.0.1:99999", "state": "ready"}',
-    b"\xff\x00",
-)
 MAX_REPEATS = 3
 REPEAT_INTERVAL_S = 0.4
 
@@ -263,10 +258,10 @@
     """Leaves an entry of another writer among those of the databases."""
 
     async def inject(self) -> None:
-        key = f"servers/odd-{self.rng.randrange(1000)}"
-        self.store.write(key, self.rng.choice(ODD_ENTRIES))
+        name = UpstreamId(f"odd-{self.rng.randrange(1000)}")
+        self.deployment.standin.write_odd_entry(name, self.rng.choice(ODD_ENTRIES))
         await trio.sleep(self.choose_duration_s())
-        self.store.delete(key)
+        self.deployment.standin.delete_entry(name)
 
 
 FAULTS.add("kill", _Kill)
