--- a/celeryfold/links/codec.py
+++ b/celeryfold/links/codec.py
@@ -14,7 +14,7 @@
 
 M = TypeVar("M")
 
-# A clock that followed a later one could not be encoded any more.
+# In milliseconds. The clock follows received stamps, and later ones would overflow.
 MAX_STAMP_MS = 2**53
 
 
--- a/celeryfold/platform/promotions.py
+++ b/celeryfold/platform/promotions.py
@@ -64,7 +64,7 @@
         if response.status == CONFLICT:
             raise PromotionRefused(response.body.decode("utf-8", "replace"))
         if response.status == TOO_MANY:
-            raise PromotionNotMade("the platform turned the promotion call away")
+            raise PromotionNotMade("the platform accepts no more calls this second")
         if response.status != OK:
             raise PromotionUnanswered(
                 f"promotion call returned status {response.status}"
--- a/celeryfold/proxy/guardian.py
+++ b/celeryfold/proxy/guardian.py
@@ -51,7 +51,7 @@
 PEER_CONTACT_MAX_AGE_S = 0.5
 # A service that never had a primary gets this time to start one by itself.
 FIRST_PRIMARY_TIMEOUT_S = 4.0
-# Interval at which open promotion calls are settled while the platform does not answer.
+# Interval at which a guardian tries to settle open promotion calls.
 SETTLE_INTERVAL_S = 1.0
 # Time for a replica to receive the remaining entries of a demoted primary.
 CATCH_UP_TIMEOUT_S = 1.0
@@ -276,8 +276,8 @@
     async def _start_duty(self) -> None:
         """Restore the previous holder's record.
 
-        An open failover attempt of the previous holder is certainly over after one
-        lease; no action is taken before that.
+        The previous holder begins nothing after one lease, and no action is taken
+        before that. Its promotion calls may be open for longer.
         """
         now = self._clock()
         record = await self._record.read()
@@ -568,7 +568,9 @@
             return not self._promoter.may_call_take_effect
         if self._clock() - self._promoter.requested_at < SETTLE_INTERVAL_S:
             return False
-        if not self._may_be_paused or not await self._fail_over(newest, True):
+        if not self._may_be_paused or not await self._fail_over(
+            newest, is_primary_back=True
+        ):
             await self._confirm_primary(newest)
         return False
 
--- a/celeryfold/proxy/messages.py
+++ b/celeryfold/proxy/messages.py
@@ -31,7 +31,7 @@
     capacity: float = DEFAULT_WEIGHT
 
 
-# An age that is negative or no number would date the state wrongly for ever.
+# State with a negative age, or with NaN, would never be replaced by newer state.
 Age = Annotated[float, msgspec.Meta(ge=0)]
 
 
--- a/celeryfold/proxy/promotions.py
+++ b/celeryfold/proxy/promotions.py
@@ -24,7 +24,7 @@
 
 
 class PromotionNotMade(CeleryfoldError):
-    """The call was not sent, or was turned away; it is never carried out."""
+    """The call was not sent or not accepted, so it is never carried out."""
 
 
 class Promotions(ABC):
--- a/celeryfold/proxy/tests/test_late_promotions.py
+++ b/celeryfold/proxy/tests/test_late_promotions.py
@@ -67,6 +67,21 @@
         await trio.sleep(0.05)
 
 
+async def write_and_wait(
+    deployment: SimulatedDeployment, number: int, late_s: float
+) -> None:
+    """Write while a replica receives nothing, and wait for the late calls.
+
+    The primary has to stay the same meanwhile.
+    """
+    await wait_written(deployment, number, 15.0)
+    leader = find_leader_id(deployment)
+    deaf = THIRD if leader == FIRST else FIRST
+    await write_without(deployment, deaf, number)
+    await trio.sleep(late_s)
+    assert find_leader_id(deployment) == leader
+
+
 # Guards against a dead holder's promotion that takes effect under the next holder.
 def test_a_dead_holders_promotion_does_not_depose_the_primary_that_is_back():
     async def scenario(deployment: SimulatedDeployment) -> None:
@@ -79,11 +94,7 @@
         await trio.sleep(2.0)
         deployment.replicas.restart(FIRST)
         other = (guardian + 1) % 3
-        await wait_written(deployment, other, 15.0)
-        leader = find_leader_id(deployment)
-        await write_without(deployment, THIRD if leader == FIRST else FIRST, other)
-        await trio.sleep(12.0)
-        assert find_leader_id(deployment) == leader
+        await write_and_wait(deployment, other, 12.0)
 
     check_nothing_lost(run_scenario(scenario))
 
@@ -174,12 +185,8 @@
         await trio.sleep(2.0)
         deployment.replicas.restart(FIRST)
         other = (guardian + 1) % 3
-        await wait_written(deployment, other, 15.0)
-        leader = find_leader_id(deployment)
-        await write_without(deployment, THIRD if leader == FIRST else FIRST, other)
-        await trio.sleep(12.0)
+        await write_and_wait(deployment, other, 12.0)
         assert n_failures == 2
-        assert find_leader_id(deployment) == leader
 
     check_nothing_lost(run_scenario(scenario))
 
@@ -201,10 +208,6 @@
         deployment.replicas.promotion_lateness_s.clear()
         deployment.replicas.restart(FIRST)
         other = (guardian + 1) % 3
-        await wait_written(deployment, other, 15.0)
-        leader = find_leader_id(deployment)
-        await write_without(deployment, THIRD if leader == FIRST else FIRST, other)
-        await trio.sleep(22.0)
-        assert find_leader_id(deployment) == leader
+        await write_and_wait(deployment, other, 22.0)
 
     check_nothing_lost(run_scenario(scenario))
--- a/celeryfold/soak/faults.py
+++ b/celeryfold/soak/faults.py
@@ -30,7 +30,7 @@
 MAX_COPY_AGE_S = 10.0
 # The keys that celeryfold itself writes; others are written again by their writers.
 OWN_PREFIX = "celeryfold/"
-# The platform carries calls without an answer out this much later.
+# Seconds after which the platform carries out a call that it left unanswered.
 MIN_LATE_S = 2.0
 MAX_LATE_S = 12.0
 # Shorter than the time within which a lost primary is replaced.
