Let a leaving replica go without being waited for: pause it, record its last position

Cause: a holder without memory knows only the record, which named each former id for as long as no primary covered it; two absent addresses are never allowed.

Now a replica that leaves is paused as soon as a replica that stays keeps up, and the record names the position after which it receives nothing. Logs are prefixes of the primary's log, so it may be absent if the chosen one has that position, wherever its own log is. If none that stays keeps up, the leaving one receives again. Members whose address or id has gone to another process are dropped for good once others hold what they may have acknowledged. The first attempt after a restart begins after 2 s instead of 4 s where the record tells of an earlier holder. A final position holds beside open calls only if all upstreams that they may name are paused, so the record names those targets, and tells at once after a promotion that the calls are settled.

--- a/celeryfold/proxy/control_book.py
+++ b/celeryfold/proxy/control_book.py
@@ -104,6 +104,7 @@
             known = self._find(member) or self._identify(member)
             if known is None or known.upstream.address != upstream.address:
                 known = self._make_control(upstream)
+                self._contacts.forget_last(member)
             known.upstream = upstream
             self._controls[member] = known
             # A dropped incarnation of this upstream does not come back.
@@ -127,11 +128,13 @@
         addresses: Iterable[MemberAddress],
         members: Collection[Member],
         dropped: Collection[Member],
+        leaving: Collection[Member] = (),
     ) -> None:
         """Add connections to addresses that the previous holder of the duty recorded.
 
         :param members: the members now.
         :param dropped: the dropped members that may come back.
+        :param leaving: the members that had announced that they leave.
         """
         for recorded in addresses:
             member = recorded.member
@@ -142,6 +145,7 @@
                 PlaceId(""),
                 0,
                 recorded.born_ms,
+                member in leaving,
             )
             known = self._find(member) or self._make_control(upstream)
             if member in members:
@@ -264,14 +268,18 @@
         return False
 
     async def read_statuses(
-        self, members: Iterable[Member] | None = None
+        self, members: Iterable[Member] | None = None, timeout_s: float = math.inf
     ) -> dict[Member, UpstreamStatus]:
         """Return the status of each member that answers.
 
         :param members: the members to ask, or None for all.
+        :param timeout_s: for how long to wait for all answers, in seconds.
         """
         chosen = self._controls if members is None else members
-        return await self._execute_on_each(chosen, _read_status)
+        answers: dict[Member, UpstreamStatus] = {}
+        with trio.move_on_after(timeout_s):
+            await self._execute_on_each(chosen, _read_status, answers=answers)
+        return answers
 
     async def pause(
         self, members: Collection[Member], term: Term
@@ -441,6 +449,19 @@
         control = self._find(member)
         return control is not None and control.upstream.is_leaving
 
+    def find_ended(self, members: Iterable[Member]) -> dict[Member, str]:
+        """Return the members whose processes have ended for good, with their addresses.
+
+        Another upstream has the address, or a later incarnation the id.
+        """
+        ended = {}
+        for member in members:
+            contact = self._contacts.find(member)
+            if contact is Contact.OTHER_UPSTREAM or self._is_superseded(member):
+                control = self._find(member)
+                ended[member] = control.upstream.address if control else ""
+        return ended
+
     def _record_unanswered(self, member: Member, kind: StatementKind) -> None:
         self._metrics.count("failover.statement_unanswered")
         self._open_statements.record_unanswered(member, kind, self._clock())
@@ -464,6 +485,10 @@
             members = list(self._controls)
             self._open_statements.restore(members, StatementKind.PAUSE, now)
 
+    def recheck_paused(self) -> None:
+        """Look at once for members that are paused, at the next call."""
+        self._checked_at = -math.inf
+
     async def find_paused(self) -> list[Member]:
         """Return the members that an earlier attempt has left paused.
 
@@ -477,11 +502,7 @@
             return []
         self._checked_at = self._clock()
         self._paused &= self._controls.keys()
-        statuses: dict[Member, UpstreamStatus] = {}
-        with trio.move_on_after(PAUSE_CHECK_TIMEOUT_S):
-            await self._execute_on_each(
-                list(self._paused), _read_status, answers=statuses
-            )
+        statuses = await self.read_statuses(list(self._paused), PAUSE_CHECK_TIMEOUT_S)
         pausing = self._open_statements.list_open(StatementKind.PAUSE, self._clock())
         found = []
         for member, status in statuses.items():
--- a/celeryfold/proxy/duty_record.py
+++ b/celeryfold/proxy/duty_record.py
@@ -11,6 +11,7 @@
 from ..exceptions import CeleryfoldError, Unreadable
 from ..kernel.decoding import decode_json
 from ..kernel.ids import UpstreamId
+from .final_positions import FinalPosition
 from .leases import Duty
 from .members import BornMs, Member
 from .store import (
@@ -54,6 +55,10 @@
         may be executed later.
     :param addresses: where members were listed, and dropped ones that are still asked.
         Records of earlier versions have none.
+    :param leaving: the members that have announced that they leave.
+    :param final_positions: the positions after which members receive nothing.
+    :param targets: the upstreams that open promotion calls may name while the calls are
+        not settled, or None if that is not known.
     """
 
     members: tuple[Member, ...] = ()
@@ -63,16 +68,23 @@
     dropped: tuple[Member, ...] = ()
     resuming: tuple[Member, ...] = ()
     addresses: tuple[MemberAddress, ...] = ()
+    leaving: tuple[Member, ...] = ()
+    final_positions: tuple[FinalPosition, ...] = ()
+    targets: tuple[UpstreamId, ...] | None = None
 
     def is_covered_by(self, other: DutyRecord) -> bool:
         """Return whether another record tells the next holder the same.
 
-        Its revision and further addresses make no difference.
+        Its revision, further addresses and further targets make no difference.
         """
         same = msgspec.structs.replace(
-            self, as_of=other.as_of, addresses=other.addresses
+            self, as_of=other.as_of, addresses=other.addresses, targets=other.targets
         )
-        return same == other and set(self.addresses) <= set(other.addresses)
+        if same != other or not set(self.addresses) <= set(other.addresses):
+            return False
+        if other.targets is None:
+            return True
+        return self.targets is not None and set(self.targets) <= set(other.targets)
 
 
 NO_RECORD = DutyRecord(is_settled=True)
--- a/celeryfold/proxy/guardian.py
+++ b/celeryfold/proxy/guardian.py
@@ -12,7 +12,7 @@
 import trio
 
 from ..exceptions import CeleryfoldError
-from ..kernel.ids import InstanceId, ServiceId
+from ..kernel.ids import InstanceId, ServiceId, UpstreamId
 from ..kernel.metrics import Metrics
 from ..kernel.rendezvous import compute_weight
 from ..kernel.revisions import find_era
@@ -20,6 +20,7 @@
 from .control_book import ControlConnections
 from .directory import MISSING_GRACE_S, Directory
 from .duty_record import DutyRecord, DutyRecordStore
+from .final_positions import FinalPositions
 from .leases import LEASE_TTL_S, Duty, DutyLost
 from .members import AckSet, Member, choose_caught_up
 from .open_statements import LATE_STATEMENT_S
@@ -28,6 +29,7 @@
 from .promoter import Promoter
 from .promotion_fence import PromotionFence, SuspendWritesAtAll
 from .promotions import Promotions
+from .retirement import Retirement
 from .samples import Sample, SampleHistory
 from .store import CoordinationStore
 from .upstream import Connector, Upstream, UpstreamRole, UpstreamStatus
@@ -48,6 +50,9 @@
 PEER_CONTACT_MAX_AGE_S = 0.5
 # A service that never had a primary gets this time to start one by itself.
 FIRST_PRIMARY_TIMEOUT_S = 4.0
+# Where instances have guarded the service before, those that started again find a
+# primary that leads within this time.
+KNOWN_PRIMARY_TIMEOUT_S = 2.0
 # Interval at which a guardian tries to settle open promotion calls.
 SETTLE_INTERVAL_S = 1.0
 # Time for a replica to receive the remaining entries of a demoted primary.
@@ -111,6 +116,7 @@
         )
         self._ack_set = AckSet()
         self._n_watch_gaps = 0
+        self._final_positions = FinalPositions()
         self._fence = PromotionFence(
             service,
             self._ack_set,
@@ -122,6 +128,8 @@
             ports.watcher.read_upstreams,
             ports.suspend_writes,
             duty.require_token,
+            self._final_positions,
+            lambda: self._promoter.open_targets,
         )
         self._promoter = Promoter(
             service,
@@ -133,7 +141,13 @@
             ports.samples,
             ports.clock,
             ports.metrics,
+            self._record_targets,
         )
+        self._retirement = Retirement(
+            service, self._controls, self._final_positions, ports.metrics
+        )
+        # The upstream that led when the final positions were last checked.
+        self._last_leader: UpstreamId | None = None
         self._begun_at = -math.inf
         self._started_at = ports.clock()
         # When this instance last took the duty.
@@ -190,9 +204,10 @@
         if self._is_key_unconfirmed():
             await self._duty.verify()
         newest = self._ports.samples.newest(self.service)
+        self._end_final_positions(newest)
         await self._update_record(newest)
         if newest is None:
-            if self._clock() - self._started_at > FIRST_PRIMARY_TIMEOUT_S:
+            if self._clock() - self._started_at > self._find_patience_s():
                 await self._verify_and_fail_over(None)
             return
         if await self._is_new_primary_leading(newest):
@@ -211,6 +226,28 @@
         leader = self._ports.directory.find(newest.upstream)
         if leader is not None and leader.is_leaving:
             await self._hand_over(leader, newest)
+        else:
+            await self._retirement.step(newest, self._ack_set.members)
+
+    def _find_patience_s(self) -> float:
+        """Return for how long after the start a primary may stay unknown, in seconds.
+
+        A replica that leaves may have the newest commits alone, so an attempt begins
+        before it is gone.
+        """
+        if self._record.record.as_of is None:
+            return FIRST_PRIMARY_TIMEOUT_S
+        return KNOWN_PRIMARY_TIMEOUT_S
+
+    def _end_final_positions(self, newest: Sample | None) -> None:
+        """Forget the final positions once another upstream leads.
+
+        Its promotion has let all members receive again.
+        """
+        leader = newest.upstream if newest is not None else None
+        if self._last_leader is not None and leader != self._last_leader:
+            self._final_positions.clear()
+        self._last_leader = leader
 
     @property
     def _last_attempt_at(self) -> float:
@@ -224,11 +261,32 @@
         is_settled = self._record.record.is_settled
         if newest is not None and self._clock() - newest.taken_at <= PRIMARY_TIMEOUT_S:
             is_settled = not self._promoter.may_depose(newest.upstream)
+            if is_settled and not self._record.record.is_settled:
+                # One of the calls may have been carried out.
+                self._final_positions.clear()
         await self._record.update(self._make_record(attempt_by, is_settled))
 
+    async def _record_targets(self) -> None:
+        """Record which upstreams promotion calls may name, before one is sent."""
+        await self._record.update(self._make_record(self._ports.me, is_settled=False))
+
     def _make_record(
-        self, turn_of: str, is_settled: bool, resuming: Collection[Member] = ()
+        self,
+        turn_of: str,
+        is_settled: bool,
+        resuming: Collection[Member] = (),
+        probable: UpstreamId | None = None,
     ) -> DutyRecord:
+        """Return the record for the next holder.
+
+        :param resuming: members to which a RESUME is about to be sent.
+        :param probable: the upstream that a promotion call will probably name.
+        """
+        named = self._promoter.open_targets
+        if named is not None and probable is not None:
+            named |= {probable}
+        if is_settled:
+            named = frozenset()
         return DutyRecord(
             members=tuple(sorted(self._ack_set.members)),
             turn_of=turn_of,
@@ -237,6 +295,9 @@
             dropped=tuple(sorted(self._ack_set.dropped)),
             addresses=self._controls.list_addresses(),
             resuming=tuple(sorted({*resuming, *self._controls.list_resuming()})),
+            leaving=tuple(sorted(self._ack_set.leaving)),
+            final_positions=self._final_positions.export(),
+            targets=None if named is None else tuple(sorted(named)),
         )
 
     async def _resume_replicas(self) -> None:
@@ -247,6 +308,7 @@
         """
         await self._fence.resume_writes()
         paused = await self._controls.find_paused()
+        paused = [m for m in paused if m not in self._final_positions]
         if paused:
             record = self._record.record
             await self._record.update(
@@ -333,25 +395,42 @@
         now = self._clock()
         record = await self._record.read()
         for member in self._ack_set.restore(
-            record.members, now, record.as_of, record.dropped
+            record.members, now, record.as_of, record.dropped, record.leaving
         ):
             await self._drop(member)
         self._controls.restore(
-            record.addresses, self._ack_set.members, self._ack_set.dropped
+            record.addresses,
+            self._ack_set.members,
+            self._ack_set.dropped,
+            self._ack_set.leaving,
         )
         is_attempt_open = record.turn_of not in ("", self._ports.me)
         self._act_after = now + LEASE_TTL_S if is_attempt_open else now
-        self._promoter.restore(record.is_settled and self._is_up_to_date(record))
+        is_up_to_date = self._is_up_to_date(record)
+        self._promoter.restore(
+            record.is_settled and is_up_to_date,
+            record.targets if is_up_to_date else None,
+        )
+        self._final_positions.restore(record.final_positions if is_up_to_date else ())
+        self._retirement.forget()
+        self._last_leader = None
         self._may_be_paused = record.turn_of != ""
         self._has_record = True
         self._controls.assume_all_paused(record.resuming, self._may_be_paused)
         self._fence.forget()
         self._began_at = now
         if self._promoter.can_take_effect:
-            await self._fence.suspend_writes(None)
+            await self._fence.suspend_writes(self._find_sole_target())
         else:
             await self._fence.resume_writes()
 
+    def _find_sole_target(self) -> Member | None:
+        """Return the member that all open calls name, or None if it is not known."""
+        targets = self._promoter.open_targets
+        if targets is None or len(targets) != 1:
+            return None
+        return self._controls.find_member(next(iter(targets)))
+
     def _is_up_to_date(self, record: DutyRecord) -> bool:
         """Return whether no later record can have been lost by a restore of the store.
 
@@ -362,7 +441,9 @@
             return era <= FIRST_ERA
         return find_era(record.as_of) == era
 
-    async def _begin_attempt(self, may_request: bool) -> None:
+    async def _begin_attempt(
+        self, may_request: bool, probable: Member | None = None
+    ) -> None:
         """Confirm the duty in the store and record that an attempt has begun.
 
         The upstreams are read again from the store: a replica that was listed a moment
@@ -370,6 +451,7 @@
 
         :param may_request: whether a promotion call will probably follow. The record
             then says that calls may be open.
+        :param probable: the member that the call will probably name.
         :raises CeleryfoldError: if the duty was not confirmed; no upstream may be
             paused, demoted or promoted then.
         """
@@ -377,11 +459,16 @@
         self._refresh()
         self._begun_at = self._clock()
         is_settled = self._record.record.is_settled and not may_request
-        await self._record.confirm(self._make_record(self._ports.me, is_settled))
+        target = probable.upstream_id if probable is not None else None
+        await self._record.confirm(
+            self._make_record(self._ports.me, is_settled, probable=target)
+        )
 
     async def _drop_covered_members(self, newest: Sample) -> None:
         """Drop missing members whose acknowledged commits another replica holds."""
-        if not self._ack_set.list_missing() and not self._ack_set.in_doubt:
+        known = self._ack_set.members | self._ack_set.dropped
+        self._ack_set.record_ended(self._controls.find_ended(known), self._clock())
+        if not self._ack_set.has_departures:
             return
         statuses = await self._controls.read_statuses()
         positions = {member: status.received for member, status in statuses.items()}
@@ -453,10 +540,10 @@
         if await self._find_current_leader(statuses):
             return True
         fence.begin(newest, statuses)
-        is_choice_likely = fence.choose_among(statuses) is not None
-        if is_primary_back and not is_choice_likely:
+        probable = fence.choose_among(statuses)
+        if is_primary_back and probable is None:
             return False
-        await self._begin_attempt(may_request=is_choice_likely)
+        await self._begin_attempt(probable is not None, probable)
         if self._may_entries_reappear():
             self._log_attempt("promotion waits for entries to come back", newest)
             return False
@@ -505,7 +592,9 @@
     def _describe(self, member: Member) -> str:
         state = self._ack_set.describe(member)
         contact = self._controls.find_contact(member).value
-        return f"{member.upstream_id} born {member.born_ms}: {state}, {contact}"
+        text = f"{member.upstream_id} born {member.born_ms}: {state}, {contact}"
+        final = self._final_positions.positions.get(member)
+        return text if final is None else f"{text}, nothing received after {final}"
 
     def _may_entries_reappear(self) -> bool:
         """Return whether a member in doubt may still be listed again.
@@ -584,10 +673,12 @@
     async def _promote(self, chosen: Member) -> None:
         """Promote a member, and let replicas receive again once it is the primary.
 
-        The next holder has to know of the call before it is sent.
+        The record tells at once that no call is open any more: instances that start
+        suspend their writes otherwise.
         """
-        await self._record.update(self._make_record(self._ports.me, is_settled=False))
         if await self._promoter.promote(chosen):
+            self._final_positions.clear()
+            await self._update_record(self._ports.samples.newest(self.service))
             await self._resume_replicas()
 
     async def _settle_calls(self, newest: Sample) -> bool:
@@ -620,7 +711,7 @@
         if primary is None or not await self._promoter.sample_if_leader(primary):
             return
         self._log_attempt("primary confirmed at the platform", newest)
-        await self._begin_attempt(may_request=True)
+        await self._begin_attempt(may_request=True, probable=primary)
         await self._promoter.confirm(primary, newest.position.term)
 
     def _log_attempt(self, text: str, newest: Sample | None, **inputs: object) -> None:
--- a/celeryfold/proxy/members.py
+++ b/celeryfold/proxy/members.py
@@ -74,6 +74,12 @@
         self._leaving: set[Member] = set()
         self._dropped: set[Member] = set()
         self._in_doubt_since: dict[Member, float] = {}
+        # Members whose process has ended for good, since when that is known, and where
+        # they ran: another upstream has their address, or a later incarnation their id.
+        self._ended_since: dict[Member, float] = {}
+        self._ended_addresses: dict[Member, str] = {}
+        # The addresses of dropped members that had ended, but are still listed.
+        self._stale_entries: dict[Member, str] = {}
         # The revision of the list with which a member was dropped. A record that is not
         # newer than that does not make it a member again: after a restore of the store
         # from an older copy it may be from before the drop.
@@ -104,6 +110,12 @@
         :returns: whether members were added.
         """
         present = {Member(u.upstream_id, u.born_ms): u for u in listed}
+        for member, address in list(self._stale_entries.items()):
+            upstream = present.get(member)
+            if upstream is not None and upstream.address == address:
+                del present[member]
+            else:
+                del self._stale_entries[member]
         self._identify(present)
         added = present.keys() - self.members
         for member, upstream in present.items():
@@ -136,12 +148,38 @@
         """The dropped members that were not leaving and may come back."""
         return frozenset(self._dropped)
 
+    @property
+    def leaving(self) -> frozenset[Member]:
+        """The members that have announced that they leave."""
+        return frozenset(self._leaving)
+
+    @property
+    def has_departures(self) -> bool:
+        """Whether a member is missing, in doubt or has ended, so that it may drop."""
+        is_missing = any(s is not None for s in self._missing_since.values())
+        return is_missing or bool(self._in_doubt_since or self._ended_since)
+
+    def record_ended(self, ended: Mapping[Member, str], now: float) -> None:
+        """Record which members have ended for good, listed or not.
+
+        :param ended: all of them, with the addresses at which they ran.
+        :param now: the current time, in seconds of this instance's clock.
+        """
+        known = {*self._missing_since, *self._dropped}
+        self._ended_since = {
+            member: self._ended_since.get(member, now)
+            for member in ended
+            if member in known
+        }
+        self._ended_addresses = dict(ended)
+
     def restore(
         self,
         members: Collection[Member],
         now: float,
         as_of: int | None = None,
         dropped: Collection[Member] = (),
+        leaving: Collection[Member] = (),
     ) -> list[Member]:
         """Add the members that the previous holder of the duty recorded.
 
@@ -154,6 +192,7 @@
             None if the record has none.
         :param dropped: the members that the previous holder had dropped and that may
             come back.
+        :param leaving: the members that had announced that they leave.
         :returns: the members dropped.
         """
         known = set(self._missing_since)
@@ -162,6 +201,9 @@
             dropped_at = self._dropped_at.get(member)
             if dropped_at is None or as_of is None or as_of > dropped_at:
                 self._missing_since.setdefault(member, now)
+        self._leaving.update(
+            m for m in leaving if m not in known and m in self._missing_since
+        )
         self._identify(known)
         if as_of is None:
             return []
@@ -243,6 +285,8 @@
         for member, in_doubt_since in list(self._in_doubt_since.items()):
             if in_doubt_since < sampled_at:
                 del self._in_doubt_since[member]
+        ended = [m for m, since in self._ended_since.items() if since < sampled_at]
+        ended = [m for m in ended if m.upstream_id != leader]
         listed = {m.upstream_id for m, s in self._missing_since.items() if s is None}
         alive = {m for m in {*positions, *running} if m.upstream_id not in listed}
         dropped = [
@@ -255,7 +299,20 @@
         ]
         for member in dropped:
             self._drop(member, revision)
-        return dropped
+        for member in ended:
+            self._forget(member)
+        return [*dropped, *(m for m in ended if m not in dropped)]
+
+    def _forget(self, member: Member) -> None:
+        """Remove a member that has ended for good and whose commits others hold."""
+        del self._ended_since[member]
+        if self._missing_since.get(member, 0.0) is None:
+            self._stale_entries[member] = self._ended_addresses[member]
+        self._missing_since.pop(member, None)
+        self._revisions.pop(member, None)
+        self._in_doubt_since.pop(member, None)
+        self._dropped.discard(member)
+        self._leaving.discard(member)
 
     def _drop(self, member: Member, revision: int) -> None:
         """Remove a member, but remember one that was not leaving: it may come back."""
@@ -331,6 +388,10 @@
         """Record that a later incarnation of the upstream is listed."""
         self._last[member] = Contact.OTHER_INCARNATION
 
+    def forget_last(self, member: Member) -> None:
+        """Forget the last contact with a member, which was at another address."""
+        self._last.pop(member, None)
+
     def forget(self, member: Member) -> None:
         """Forget a member."""
         self._last.pop(member, None)
@@ -360,6 +421,7 @@
     last_seen: LogPosition | None = None,
     may_resume: Collection[Member] = (),
     address_of: Mapping[Member, str] | None = None,
+    final_positions: Mapping[Member, LogPosition] | None = None,
 ) -> Member | None:
     """Return the member to promote once at most one address has members not paused.
 
@@ -383,6 +445,8 @@
         it acknowledges.
     :param address_of: where members run or ran. An upstream whose address is not known
         counts as one of its own.
+    :param final_positions: the positions after which members receive nothing. A member
+        may be absent if the one to promote has received its final position.
     :returns: None if the only copy of a commit may be on members that are not paused.
     """
     if not progress_of:
@@ -395,9 +459,12 @@
 
     chosen = max(progress_of, key=rank)
     held = {m for m in progress_of if m == chosen or m not in may_resume}
+    reached = progress_of[chosen].received
+    finals = final_positions or {}
+    dispensable = {m for m, final in finals.items() if final <= reached}
     addresses = address_of or {}
-    everyone = {*members, *progress_of}
-    absent = {addresses.get(m, m.upstream_id) for m in everyone if m not in held}
+    waited_for = {*members, *progress_of} - held - dispensable
+    absent = {addresses.get(m, m.upstream_id) for m in waited_for}
     if lost is not None and all(m.upstream_id != lost for m in held):
         known = [m for m in addresses if m.upstream_id == lost]
         absent.add(addresses[max(known)] if known else lost)
--- a/celeryfold/proxy/promoter.py
+++ b/celeryfold/proxy/promoter.py
@@ -6,7 +6,7 @@
 
 import logging
 import math
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 
 import trio
 
@@ -47,6 +47,7 @@
     """Promotes members of one service and tracks which calls may still take effect.
 
     :param me: the id of this instance.
+    :param record_targets: writes :attr:`open_targets` to the record of the duty.
     """
 
     def __init__(
@@ -60,7 +61,9 @@
         samples: SampleHistory,
         clock: Clock,
         metrics: Metrics,
+        record_targets: Callable[[], Awaitable[object]],
     ) -> None:
+        self._record_targets = record_targets
         self._service = service
         self._me = me
         self._duty = duty
@@ -77,12 +80,21 @@
         self.requested_at = -math.inf
         self.promoted_at = -math.inf
 
-    def restore(self, is_settled: bool) -> None:
+    def restore(
+        self, is_settled: bool, targets: Collection[UpstreamId] | None = None
+    ) -> None:
         """Apply the record of the previous holder of the duty.
 
         :param is_settled: whether none of its calls can depose the primary any more.
+        :param targets: the upstreams that its open calls may name, or None if that is
+            not known.
         """
-        self._calls.restore(is_settled)
+        self._calls.restore(is_settled, targets)
+
+    @property
+    def open_targets(self) -> frozenset[UpstreamId] | None:
+        """The upstreams that open calls may name, or None if they are not known."""
+        return self._calls.named
 
     def may_depose(self, primary: UpstreamId) -> bool:
         """Return whether an open call may name an upstream other than the primary."""
@@ -238,7 +250,15 @@
         :raises PromotionRefused: if the token is old or the upstream is down; a newer
             token has been taken.
         """
+        named_before = self._calls.named
         token = self._duty.require_token()
+        self._calls.record_sent(token, chosen.upstream_id)
+        try:
+            await self._record_targets()
+            self._duty.require_token()
+        except CeleryfoldError:
+            self._calls.record_not_made(named_before)
+            raise
         self.requested_at = self._clock()
         extra: dict[str, object] = {
             "service": self._service,
@@ -247,8 +267,6 @@
             "token": token,
         }
         log.info("promotion ordered", extra=extra)
-        named_before = self._calls.named
-        self._calls.record_sent(token, chosen.upstream_id)
         self._metrics.count("failover.ordered")
         try:
             await self._promotions.promote(
--- a/celeryfold/proxy/promotion_calls.py
+++ b/celeryfold/proxy/promotion_calls.py
@@ -4,6 +4,8 @@
 
 __all__ = ["PromotionCalls"]
 
+from collections.abc import Collection
+
 from ..kernel.ids import UpstreamId
 
 
@@ -27,13 +29,21 @@
         """The upstreams that open calls may name, or None if they are not known."""
         return self._named
 
-    def restore(self, is_settled: bool) -> None:
+    def restore(
+        self, is_settled: bool, targets: Collection[UpstreamId] | None = None
+    ) -> None:
         """Apply the record of the previous holder; own calls stay open.
 
         :param is_settled: whether none of its calls can depose the primary any more.
+        :param targets: the upstreams that its open calls may name, or None if that is
+            not known.
         """
-        if not is_settled:
+        if is_settled:
+            return
+        if targets is None or self._named is None:
             self._named = None
+        else:
+            self._named |= frozenset(targets)
 
     def may_depose(self, primary: UpstreamId) -> bool:
         """Return whether an open call may name an upstream other than the primary."""
--- a/celeryfold/proxy/promotion_fence.py
+++ b/celeryfold/proxy/promotion_fence.py
@@ -15,6 +15,7 @@
 from ..kernel.metrics import Metrics
 from .clock import Clock
 from .control import ControlFailed
+from .final_positions import FinalPositions
 from .members import AckSet, Member, choose_successor
 from .open_statements import LATE_STATEMENT_S
 from .positions import LogPosition
@@ -50,6 +51,9 @@
     :param read_list: reads the list of upstreams from the store.
     :param suspend_writes: suspends the writes to a service at all instances.
     :param require_token: returns the fencing token, or raises :class:`DutyLost`.
+    :param final_positions: the positions after which members receive nothing.
+    :param find_targets: returns the upstreams that open promotion calls may name, or
+        None if they are not known.
     """
 
     def __init__(
@@ -64,7 +68,11 @@
         read_list: Callable[[], Awaitable[object]],
         suspend_writes: SuspendWritesAtAll,
         require_token: Callable[[], int],
+        final_positions: FinalPositions,
+        find_targets: Callable[[], frozenset[UpstreamId] | None],
     ) -> None:
+        self._final_positions = final_positions
+        self._find_targets = find_targets
         self._service = service
         self._ack_set = ack_set
         self._controls = controls
@@ -166,10 +174,13 @@
         replicas = [member for member in members if member not in leading]
         answers = await self._controls.pause(replicas, self._term)
         self._silent |= set(replicas) - answers.keys()
+        resuming = self._controls.list_resuming()
         for member in replicas:
             status = answers.get(member)
             if status is not None and status.held_term > self._led_term:
                 self._fenced[member] = status
+                if self._controls.is_leaving(member) and member not in resuming:
+                    self._final_positions.record(member, status.received)
             else:
                 self._fenced.pop(member, None)
 
@@ -383,8 +394,24 @@
             self._samples.find_highest_position(self._service),
             self._controls.list_resuming() if may_receive is None else may_receive,
             self._controls.find_addresses(),
+            self._find_valid_positions(replicas),
         )
 
+    def _find_valid_positions(
+        self, held: Collection[Member]
+    ) -> Mapping[Member, LogPosition]:
+        """Return the final positions if no promotion can have ended them unseen.
+
+        An upstream that an open call has promoted lets all members receive again, but
+        what they acknowledge then is in its own log.
+
+        :param held: the members that could be promoted.
+        """
+        targets = self._find_targets()
+        if targets is None or targets - {member.upstream_id for member in held}:
+            return {}
+        return self._final_positions.positions
+
     def _choose_complete(self, final: LogPosition) -> Member | None:
         """Return a fenced member that holds all entries, one that stays if possible."""
         complete = {m: s for m, s in self._fenced.items() if s.received >= final}
--- /dev/null
+++ b/celeryfold/proxy/retirement.py
@@ -0,0 +1,156 @@
+"""Replicas that leave are kept from receiving while a replica that stays keeps up."""
+
+from __future__ import annotations
+
+__all__ = ["Retirement"]
+
+import logging
+from collections.abc import Collection, Mapping
+
+from ..kernel.ids import ServiceId, Term
+from ..kernel.metrics import Metrics
+from .control_book import ControlConnections
+from .final_positions import FinalPositions
+from .members import Member
+from .positions import LogPosition
+from .samples import Sample
+from .upstream import UpstreamRole, UpstreamStatus
+
+log = logging.getLogger(__name__)
+
+# A member that does not answer within this time is asked again in the next step.
+STATUS_TIMEOUT_S = 0.25
+# Steps in a row in which a replica that stays has kept up before a leaving one is
+# paused, and in which none has kept up before it receives again. A single step may see
+# an entry that is still on its way between data centres.
+N_STEPS_KEPT_UP = 2
+N_STEPS_BEHIND = 2
+
+
+class Retirement:
+    """Pauses the replicas of one service that leave, and records their last positions.
+
+    A leaving replica takes its log along. Once it is paused, each commit is on the
+    primary and on a replica that stays, and its :class:`FinalPosition` tells the next
+    holder of the duty that it need not be waited for. If no replica that stays keeps up
+    with the primary, the leaving ones receive again, so that writes go on.
+
+    :param final_positions: the final positions, which the holder writes to the record.
+    """
+
+    def __init__(
+        self,
+        service: ServiceId,
+        controls: ControlConnections,
+        final_positions: FinalPositions,
+        metrics: Metrics,
+    ) -> None:
+        self._service = service
+        self._controls = controls
+        self._final_positions = final_positions
+        self._metrics = metrics
+        self.forget()
+
+    def forget(self) -> None:
+        """Discard what was seen in an earlier turn of the duty."""
+        # A position of the primary from the previous step.
+        self._target: LogPosition | None = None
+        self._n_kept_up = 0
+        self._n_behind = 0
+
+    async def step(self, newest: Sample, members: Collection[Member]) -> None:
+        """Pause leaving replicas, or let them receive again.
+
+        :param newest: the newest sample of the primary, which leads.
+        :param members: the members of the service.
+        :raises DutyLost: if the duty may have passed to another holder.
+        """
+        self._final_positions.retain(members)
+        replicas = [m for m in members if m.upstream_id != newest.upstream]
+        leaving = [m for m in replicas if self._controls.is_leaving(m)]
+        self._discard_withdrawn()
+        if not leaving:
+            self.forget()
+            return
+        statuses = await self._controls.read_statuses(members, STATUS_TIMEOUT_S)
+        staying = [m for m in replicas if m not in leaving]
+        self._compare(statuses, staying)
+        self._target = max([newest.position, *_list_leading(statuses)])
+        self._discard_receiving(statuses)
+        if self._n_behind >= N_STEPS_BEHIND:
+            self._release(statuses)
+        elif self._n_kept_up >= N_STEPS_KEPT_UP:
+            await self._pause(leaving, statuses)
+
+    def _compare(
+        self, statuses: Mapping[Member, UpstreamStatus], staying: Collection[Member]
+    ) -> None:
+        """Count the steps in which a replica that stays has kept up or has not."""
+        if self._target is None:
+            return
+        target = self._target
+        has_kept_up = any(
+            member in staying and not status.held_term and status.received >= target
+            for member, status in statuses.items()
+        )
+        self._n_kept_up = self._n_kept_up + 1 if has_kept_up else 0
+        self._n_behind = 0 if has_kept_up else self._n_behind + 1
+
+    def _discard_withdrawn(self) -> None:
+        """Forget the final positions of members that do not leave any more."""
+        for member in self._final_positions.list_members():
+            if not self._controls.is_leaving(member):
+                self._discard(member, "it does not leave any more")
+
+    def _discard_receiving(self, statuses: Mapping[Member, UpstreamStatus]) -> None:
+        """Forget the final positions of members that receive again."""
+        for member, status in statuses.items():
+            if member in self._final_positions and not status.held_term:
+                self._discard(member, "it has received again")
+
+    def _release(self, statuses: Collection[Member]) -> None:
+        """Let members that run receive again, since no other replica keeps up."""
+        for member in self._final_positions.list_members():
+            if member in statuses:
+                self._discard(member, "no replica that stays keeps up")
+
+    def _discard(self, member: Member, reason: str) -> None:
+        """Forget a final position; the guardian lets the member receive again."""
+        self._final_positions.discard(member)
+        self._controls.recheck_paused()
+        self._metrics.count("failover.retirement_ended")
+        extra = {"service": self._service, "upstream": member.upstream_id}
+        log.warning("leaving replica receives again", extra={**extra, "reason": reason})
+
+    async def _pause(
+        self, leaving: Collection[Member], statuses: Mapping[Member, UpstreamStatus]
+    ) -> None:
+        """Pause leaving replicas that receive, and record their final positions."""
+        resuming = self._controls.list_resuming()
+        receiving = [
+            member
+            for member in leaving
+            if member in statuses
+            and member not in self._final_positions
+            and member not in resuming
+            and statuses[member].role is UpstreamRole.REPLICA
+        ]
+        if not receiving:
+            return
+        terms = [max(s.term, s.held_term, s.received.term) for s in statuses.values()]
+        term = Term(max(terms) + 1)
+        answers = await self._controls.pause(receiving, term)
+        for member, status in answers.items():
+            if status.role is not UpstreamRole.REPLICA or status.held_term < term:
+                continue
+            self._final_positions.record(member, status.received)
+            self._metrics.count("failover.retired")
+            extra = {"service": self._service, "upstream": member.upstream_id}
+            extra["position"] = str(status.received)
+            log.info("leaving replica paused", extra=extra)
+
+
+def _list_leading(statuses: Mapping[Member, UpstreamStatus]) -> list[LogPosition]:
+    """Return the positions of the members that report to be primary."""
+    primary = UpstreamRole.PRIMARY
+    return [s.received for s in statuses.values() if s.role is primary]
--- a/celeryfold/proxy/tests/test_promotion_fence.py
+++ b/celeryfold/proxy/tests/test_promotion_fence.py
@@ -9,6 +9,7 @@
 from celeryfold.kernel.ids import Position, ServiceId, Term, UpstreamId
 from celeryfold.kernel.metrics import Metrics
 from celeryfold.proxy.control_book import ControlConnections
+from celeryfold.proxy.final_positions import FinalPositions
 from celeryfold.proxy.members import AckSet, Member
 from celeryfold.proxy.positions import LogPosition
 from celeryfold.proxy.promotion_fence import PromotionFence
@@ -47,6 +48,8 @@
             self.read_list,
             self.suspend_writes,
             lambda: 1,
+            FinalPositions(),
+            frozenset,
         )
         self.newest = Sample(FIRST, LogPosition(Term(1), Position(0)), 0.0)
 
--- a/celeryfold/proxy/write_suspensions.py
+++ b/celeryfold/proxy/write_suspensions.py
@@ -76,7 +76,7 @@
         """Suspend the writes to the services whose records tell of open calls.
 
         The holder of the duty ends this; without a holder it lasts until no call can
-        be carried out any more.
+        be carried out any more, or until the one upstream leads that they may name.
         """
         for item in items:
             if not item.key.startswith(self._prefix):
@@ -88,7 +88,9 @@
                 # The next holder of the duty logs it.
                 continue
             if not record.is_settled:
-                suspension = WriteSuspension(None, LATE_STATEMENT_S, 0)
+                targets = record.targets or ()
+                successor = targets[0] if len(targets) == 1 else None
+                suspension = WriteSuspension(successor, LATE_STATEMENT_S, 0)
                 self._samples.suspend(service, suspension)
 
 
