Ask members half as often while a replica leaves

A replica that stays is compared with the position one interval before, so one check that it fails is enough to let the leaving ones receive again.

--- a/celeryfold/proxy/guardian.py
+++ b/celeryfold/proxy/guardian.py
@@ -144,7 +144,11 @@
             self._record_targets,
         )
         self._retirement = Retirement(
-            service, self._controls, self._final_positions, ports.metrics
+            service,
+            self._controls,
+            self._final_positions,
+            ports.clock,
+            ports.metrics,
         )
         # The upstream that led when the final positions were last checked.
         self._last_leader: UpstreamId | None = None
--- a/celeryfold/proxy/retirement.py
+++ b/celeryfold/proxy/retirement.py
@@ -5,10 +5,12 @@
 __all__ = ["Retirement"]
 
 import logging
+import math
 from collections.abc import Collection, Mapping
 
 from ..kernel.ids import ServiceId, Term
 from ..kernel.metrics import Metrics
+from .clock import Clock
 from .control_book import ControlConnections
 from .final_positions import FinalPositions
 from .members import Member
@@ -18,13 +20,15 @@
 
 log = logging.getLogger(__name__)
 
-# A member that does not answer within this time is asked again in the next step.
+# Interval at which members are asked while a replica leaves. Each answer is compared
+# with the position that the primary had one interval before, so that entries on their
+# way between data centres make no difference.
+CHECK_INTERVAL_S = 0.45
+# A member that does not answer within this time is asked again the next time.
 STATUS_TIMEOUT_S = 0.25
-# Steps in a row in which a replica that stays has kept up before a leaving one is
-# paused, and in which none has kept up before it receives again. A single step may see
-# an entry that is still on its way between data centres.
-N_STEPS_KEPT_UP = 2
-N_STEPS_BEHIND = 2
+# A leaving replica is paused after so many checks in a row in which one that stays has
+# kept up.
+N_CHECKS_KEPT_UP = 2
 
 
 class Retirement:
@@ -43,8 +47,10 @@
         service: ServiceId,
         controls: ControlConnections,
         final_positions: FinalPositions,
+        clock: Clock,
         metrics: Metrics,
     ) -> None:
+        self._clock = clock
         self._service = service
         self._controls = controls
         self._final_positions = final_positions
@@ -53,10 +59,10 @@
 
     def forget(self) -> None:
         """Discard what was seen in an earlier turn of the duty."""
-        # A position of the primary from the previous step.
+        # A position of the primary from the previous check.
         self._target: LogPosition | None = None
+        self._checked_at = -math.inf
         self._n_kept_up = 0
-        self._n_behind = 0
 
     async def step(self, newest: Sample, members: Collection[Member]) -> None:
         """Pause leaving replicas, or let them receive again.
@@ -72,29 +78,27 @@
         if not leaving:
             self.forget()
             return
+        if self._clock() - self._checked_at < CHECK_INTERVAL_S:
+            return
+        self._checked_at = self._clock()
         statuses = await self._controls.read_statuses(members, STATUS_TIMEOUT_S)
-        staying = [m for m in replicas if m not in leaving]
-        self._compare(statuses, staying)
+        target = self._target
         self._target = max([newest.position, *_list_leading(statuses)])
         self._discard_receiving(statuses)
-        if self._n_behind >= N_STEPS_BEHIND:
-            self._release(statuses)
-        elif self._n_kept_up >= N_STEPS_KEPT_UP:
-            await self._pause(leaving, statuses)
-
-    def _compare(
-        self, statuses: Mapping[Member, UpstreamStatus], staying: Collection[Member]
-    ) -> None:
-        """Count the steps in which a replica that stays has kept up or has not."""
-        if self._target is None:
+        if target is None:
             return
-        target = self._target
         has_kept_up = any(
-            member in staying and not status.held_term and status.received >= target
-            for member, status in statuses.items()
+            member in statuses
+            and not statuses[member].held_term
+            and statuses[member].received >= target
+            for member in replicas
+            if member not in leaving
         )
         self._n_kept_up = self._n_kept_up + 1 if has_kept_up else 0
-        self._n_behind = 0 if has_kept_up else self._n_behind + 1
+        if not has_kept_up:
+            self._release(statuses)
+        elif self._n_kept_up >= N_CHECKS_KEPT_UP:
+            await self._pause(leaving, statuses)
 
     def _discard_withdrawn(self) -> None:
         """Forget the final positions of members that do not leave any more."""
