--- a/celeryfold/proxy/final_positions.py
+++ b/celeryfold/proxy/final_positions.py
@@ -65,6 +65,19 @@
         """Return the members that have a final position."""
         return list(self._positions)
 
+    def find_valid(
+        self, targets: frozenset[UpstreamId] | None, held: Collection[Member]
+    ) -> Mapping[Member, LogPosition]:
+        """Return the final positions if no promotion can have ended them unseen.
+
+        :param targets: the upstreams that open promotion calls may name, or None if
+            they are not known.
+        :param held: the members that are paused.
+        """
+        if targets is None or targets - {member.upstream_id for member in held}:
+            return {}
+        return self._positions
+
     @property
     def positions(self) -> Mapping[Member, LogPosition]:
         """The final position of each member that has one."""
--- a/celeryfold/proxy/promotion_fence.py
+++ b/celeryfold/proxy/promotion_fence.py
@@ -394,24 +394,9 @@
             self._samples.find_highest_position(self._service),
             self._controls.list_resuming() if may_receive is None else may_receive,
             self._controls.find_addresses(),
-            self._find_valid_positions(replicas),
+            self._final_positions.find_valid(self._find_targets(), replicas),
         )
 
-    def _find_valid_positions(
-        self, held: Collection[Member]
-    ) -> Mapping[Member, LogPosition]:
-        """Return the final positions if no promotion can have ended them unseen.
-
-        An upstream that an open call has promoted lets all members receive again, but
-        what they acknowledge then is in its own log.
-
-        :param held: the members that could be promoted.
-        """
-        targets = self._find_targets()
-        if targets is None or targets - {member.upstream_id for member in held}:
-            return {}
-        return self._final_positions.positions
-
     def _choose_complete(self, final: LogPosition) -> Member | None:
         """Return a fenced member that holds all entries, one that stays if possible."""
         complete = {m: s for m, s in self._fenced.items() if s.received >= final}
