Soak: replace replicas beside the loss of the primary and of all processes

The fault replace lets a replica report, drain and go: its log is gone, moves to another address, stays under another id, or the replica comes back empty. In some runs the others receive nothing meanwhile, or the primary and all processes are lost, from before the report to after the replica has left.

--- a/celeryfold/soak/deployment.py
+++ b/celeryfold/soak/deployment.py
@@ -220,6 +220,24 @@
         acknowledged = self.standin.replicas.acknowledged
         return all(entry.position in held for _, entry in acknowledged)
 
+    def holds_all(self, upstream_id: UpstreamId) -> bool:
+        """Return whether a running database holds every acknowledged commit."""
+        database = self.standin.replicas.databases[upstream_id]
+        return database.is_alive and self._holds_all(database)
+
+    def lose_for_good(self, upstream_id: UpstreamId, is_silent: bool) -> None:
+        """Stop a database that is not started again.
+
+        :param is_silent: whether its host does not respond at all.
+        """
+        self.lost_databases.add(upstream_id)
+        self.standin.replicas.crash(upstream_id, is_silent=is_silent)
+
+    def kill_all(self) -> None:
+        """Kill the processes of all instances."""
+        for instance in self.instances:
+            self.signal(instance, signal.SIGKILL)
+
     def find_holder(self) -> str | None:
         """Return the name of the instance that holds the duty of the service."""
         item = self.standin.store.items.get(f"celeryfold/duties/{SERVICE}")
--- a/celeryfold/soak/faults.py
+++ b/celeryfold/soak/faults.py
@@ -17,6 +17,7 @@
 from .deployment import SoakDeployment
 from .fault import MAX_FAULT_S, Fault
 from .membership_faults import MEMBERSHIP_FAULTS
+from .replacement_faults import REPLACEMENT_FAULTS
 
 # Shorter than most faults last, so that faults overlap.
 MIN_INTERVAL_S = 0.1
@@ -45,8 +46,7 @@
 
 class _KillAll(Fault):
     async def inject(self) -> None:
-        for instance in self.deployment.instances:
-            self.deployment.signal(instance, signal.SIGKILL)
+        self.deployment.kill_all()
 
 
 class _Stop(Fault):
@@ -204,11 +204,9 @@
         name = self.find_running_primary()
         if name is None or not self.deployment.may_lose_for_good(name):
             return
-        self.deployment.lost_databases.add(name)
-        self.replicas.crash(name, is_silent=self.rng.random() < 0.5)
+        self.deployment.lose_for_good(name, is_silent=self.rng.random() < 0.5)
         await trio.sleep(self.rng.uniform(0.0, MAX_KILL_DELAY_S))
-        for instance in self.deployment.instances:
-            self.deployment.signal(instance, signal.SIGKILL)
+        self.deployment.kill_all()
 
 
 class _OddEntry(Fault):
@@ -245,7 +243,7 @@
 FAULTS.add("late-promotion", _LatePromotion)
 FAULTS.add("lose-all", _LoseAll)
 FAULTS.add("odd-entry", _OddEntry)
-for _name, _fault in MEMBERSHIP_FAULTS.items():
+for _name, _fault in {**MEMBERSHIP_FAULTS, **REPLACEMENT_FAULTS}.items():
     FAULTS.add(_name, _fault)
 
 
