--- a/celeryfold/proxy/guardian.py
+++ b/celeryfold/proxy/guardian.py
@@ -147,6 +147,7 @@
             service,
             self._controls,
             self._final_positions,
+            ports.directory.find_leaving_s,
             ports.clock,
             ports.metrics,
         )
--- a/celeryfold/proxy/retirement.py
+++ b/celeryfold/proxy/retirement.py
@@ -6,9 +6,9 @@
 
 import logging
 import math
-from collections.abc import Collection, Mapping
+from collections.abc import Callable, Collection, Mapping
 
-from ..kernel.ids import ServiceId, Term
+from ..kernel.ids import ServiceId, Term, UpstreamId
 from ..kernel.metrics import Metrics
 from .clock import Clock
 from .control_book import ControlConnections
@@ -36,10 +36,12 @@
 
     A leaving replica takes its log along. Once it is paused, each commit is on the
     primary and on a replica that stays, and its :class:`FinalPosition` tells the next
-    holder of the duty that it need not be waited for. If no replica that stays keeps up
-    with the primary, the leaving ones receive again, so that writes go on.
+    holder of the duty that it need not be waited for. Where none stays, the one that
+    reported last goes on receiving. If none of those that receive keeps up with the
+    primary, all receive again, so that writes go on.
 
     :param final_positions: the final positions, which the holder writes to the record.
+    :param find_leaving_s: returns for how many seconds an upstream has been leaving.
     """
 
     def __init__(
@@ -47,9 +49,11 @@
         service: ServiceId,
         controls: ControlConnections,
         final_positions: FinalPositions,
+        find_leaving_s: Callable[[UpstreamId], float | None],
         clock: Clock,
         metrics: Metrics,
     ) -> None:
+        self._find_leaving_s = find_leaving_s
         self._clock = clock
         self._service = service
         self._controls = controls
@@ -87,18 +91,22 @@
         self._discard_receiving(statuses)
         if target is None:
             return
-        has_kept_up = any(
-            member in statuses
-            and not statuses[member].held_term
-            and statuses[member].received >= target
-            for member in replicas
-            if member not in leaving
-        )
-        self._n_kept_up = self._n_kept_up + 1 if has_kept_up else 0
-        if not has_kept_up:
+        replicas.sort(key=self._find_departure)
+        kept_up = [m for m in replicas if _has_kept_up(statuses.get(m), target)]
+        if not kept_up:
+            self._n_kept_up = 0
             self._release(statuses)
-        elif self._n_kept_up >= N_CHECKS_KEPT_UP:
-            await self._pause(leaving, statuses)
+            return
+        self._n_kept_up += 1
+        if self._n_kept_up >= N_CHECKS_KEPT_UP:
+            later = replicas[: replicas.index(kept_up[0]) + 1]
+            await self._pause([m for m in leaving if m not in later], statuses)
+
+    def _find_departure(self, member: Member) -> tuple[bool, float, Member]:
+        """Return a key that puts those that stay first and those that go first last."""
+        is_leaving = self._controls.is_leaving(member)
+        leaving_s = self._find_leaving_s(member.upstream_id) or 0.0
+        return is_leaving, leaving_s, member
 
     def _discard_withdrawn(self) -> None:
         """Forget the final positions of members that do not leave any more."""
@@ -116,7 +124,7 @@
         """Let members that run receive again, since no other replica keeps up."""
         for member in self._final_positions.list_members():
             if member in statuses:
-                self._discard(member, "no replica that stays keeps up")
+                self._discard(member, "no other replica keeps up")
 
     def _discard(self, member: Member, reason: str) -> None:
         """Forget a final position; the guardian lets the member receive again."""
@@ -154,6 +162,11 @@
             log.info("leaving replica paused", extra=extra)
 
 
+def _has_kept_up(status: UpstreamStatus | None, target: LogPosition) -> bool:
+    """Return whether a member receives and has reached a position."""
+    return status is not None and not status.held_term and status.received >= target
+
+
 def _list_leading(statuses: Mapping[Member, UpstreamStatus]) -> list[LogPosition]:
     """Return the positions of the members that report to be primary."""
     primary = UpstreamRole.PRIMARY
--- a/celeryfold/proxy/tests/test_leaving_logs.py
+++ b/celeryfold/proxy/tests/test_leaving_logs.py
@@ -394,3 +394,25 @@
         await wait_written(deployment, 1, 5.0)
 
     check_nothing_lost(run_scenario(scenario))
+
+
+# Guards against a wait for the first of two leaving replicas where none stays.
+def test_where_all_replicas_leave_the_last_one_receives():
+    async def scenario(deployment: SimulatedDeployment) -> None:
+        databases = deployment.replicas.databases
+        await write(deployment, 1, 1.0)
+        report_leaving(deployment, THIRD)
+        await trio.sleep(PREPARED_S)
+        report_leaving(deployment, SECOND)
+        await trio.sleep(PREPARED_S)
+        await write(deployment, 2, 1.0)
+        assert databases[THIRD].paused_term is not None
+        assert databases[SECOND].paused_term is None
+        lose_log(deployment)
+        await trio.sleep(PREPARED_S)
+        assert databases[SECOND].paused_term is not None
+        await write(deployment, 3, 1.0)
+        await lose_primary_and_all(deployment)
+        assert await wait_written(deployment, 1, 30.0) < 10.0
+
+    check_nothing_lost(run_scenario(scenario))
--- a/celeryfold/soak/deployment.py
+++ b/celeryfold/soak/deployment.py
@@ -361,8 +361,21 @@
         for upstream_id, database in replicas.databases.items():
             database.is_replication_cut = False
             self.restart_database(upstream_id)
+        self._keep_one_database()
         replicas.ship_log()
 
+    def _keep_one_database(self) -> None:
+        """Let the databases stay if all of them have reported that they leave.
+
+        A replacement starts before the last one leaves, but the fault has ended.
+        """
+        running = [d for d in self.standin.replicas.databases.values() if d.is_alive]
+        if all(database.upstream.is_leaving for database in running):
+            for database in running:
+                database.upstream = msgspec.structs.replace(
+                    database.upstream, is_leaving=False
+                )
+
     def restart_database(self, upstream_id: UpstreamId) -> None:
         """Start a stopped database again unless it is lost or has another id."""
         database = self.standin.replicas.databases.get(upstream_id)
--- a/celeryfold/soak/replacement_faults.py
+++ b/celeryfold/soak/replacement_faults.py
@@ -64,6 +64,9 @@
             await trio.sleep(POLL_S)
         depart = self._remove if is_new_first else self.rng.choice(self._departures)
         await depart(name)
+        # The entry of a database that has left is removed at once.
+        if name not in self.replicas.databases:
+            self.deployment.standin.delete_entry(name)
         self.deployment.record(f"{name} has left ({depart.__name__.strip('_')})")
 
     @property
