Drop a replica that left unpaused before its entry is gone; hosts refuse in the soak

A leaving replica whose host refuses connections is dropped as soon as it is covered, too, asked until its entry is gone, and forgotten then; a holder without memory does not wait for it.

In the soak the hosts of stopped databases accepted connections, so that none was ever seen refusing: forwarders now stop listening.

test_a_replica_that_left_unpaused_is_covered_before_its_entry_is_gone failed before.

--- a/celeryfold/proxy/members.py
+++ b/celeryfold/proxy/members.py
@@ -125,6 +125,9 @@
                 upstream is not None and self.has_stale_entry(upstream)
             ):
                 del self._stale_entries[member]
+                if upstream is None and member in self._dropped & self._leaving:
+                    self._dropped.discard(member)
+                    self._leaving.discard(member)
             else:
                 del present[member]
         self._identify(present)
@@ -200,7 +203,7 @@
         self._stopped_since = {
             member: self._stopped_since.get(member, now)
             for member in stopped
-            if member in self._missing_since and member not in self._leaving
+            if member in self._missing_since
         }
         self._stopped_addresses = dict(stopped)
 
@@ -245,18 +248,23 @@
         """
         for member, address in (stale or {}).items():
             if self._missing_since.pop(member, 0.0) is None:
-                self._stale_entries[member] = (address, False)
-                self._in_doubt_since[member] = now
+                self._stale_entries[member] = (address, member in leaving)
+                if member not in leaving:
+                    self._in_doubt_since[member] = now
                 self._revisions.pop(member, None)
         known = set(self._missing_since)
-        self._dropped.update(m for m in dropped if m not in known)
+        # A leaving one whose entry has been removed does not come back.
+        self._dropped.update(
+            m
+            for m in dropped
+            if m not in known and (m not in leaving or m in self._stale_entries)
+        )
         for member in members:
             dropped_at = self._dropped_at.get(member)
             if dropped_at is None or as_of is None or as_of > dropped_at:
                 self._missing_since.setdefault(member, now)
-        self._leaving.update(
-            m for m in leaving if m not in known and m in self._missing_since
-        )
+        present = self._missing_since.keys() | self._dropped
+        self._leaving.update(m for m in leaving if m not in known and m in present)
         self._identify(known)
         if as_of is None:
             return []
@@ -282,7 +290,8 @@
         :param now: the current time, in seconds of this instance's clock.
         """
         self._last_gap_at = now
-        self._in_doubt_since.update(dict.fromkeys(self._dropped, now))
+        may_return = self._dropped - self._leaving
+        self._in_doubt_since.update(dict.fromkeys(may_return, now))
 
     def readmit(self, members: Iterable[Member], now: float) -> None:
         """Make dropped members that answer members again; they may not be listed yet.
@@ -361,7 +370,9 @@
         ]
         for member in dropped:
             if self._missing_since[member] is None:
-                self._stale_entries[member] = (self._stopped_addresses[member], False)
+                is_leaving = member in self._leaving
+                address = self._stopped_addresses[member]
+                self._stale_entries[member] = (address, is_leaving)
             self._stopped_since.pop(member, None)
             self._drop(member, revision)
         for member in ended:
@@ -382,15 +393,18 @@
         self._leaving.discard(member)
 
     def _drop(self, member: Member, revision: int) -> None:
-        """Remove a member, but remember one that was not leaving: it may come back."""
+        """Remove a member, but remember one that may come back.
+
+        A leaving one may come back until its entry has been removed.
+        """
         del self._missing_since[member]
         self._readmitted_at.pop(member, None)
         self._dropped_at[member] = revision
         self._revisions.pop(member, None)
-        if member in self._leaving:
-            self._leaving.discard(member)
-        else:
+        if member not in self._leaving or member in self._stale_entries:
             self._dropped.add(member)
+        else:
+            self._leaving.discard(member)
 
 
 class Contact(Enum):
--- a/celeryfold/proxy/promotion_fence.py
+++ b/celeryfold/proxy/promotion_fence.py
@@ -430,6 +430,6 @@
         """
         doubted = self._ack_set.in_doubt
         if self._samples.find_highest_position(self._service) is None:
-            doubted |= self._ack_set.dropped
+            doubted |= self._ack_set.dropped - self._ack_set.leaving
         replaced = self._controls.list_replaced(doubted, held)
         return doubted.difference(replaced)
--- a/celeryfold/proxy/tests/test_leaving_logs.py
+++ b/celeryfold/proxy/tests/test_leaving_logs.py
@@ -416,3 +416,26 @@
         assert await wait_written(deployment, 1, 30.0) < 10.0
 
     check_nothing_lost(run_scenario(scenario))
+
+
+# Guards against a wait for a replica that was not paused before it left: its entry is
+# still there when the primary and all processes are lost.
+def test_a_replica_that_left_unpaused_is_covered_before_its_entry_is_gone():
+    async def scenario(deployment: SimulatedDeployment) -> None:
+        await write(deployment, 1, 1.0)
+        report_leaving(deployment, THIRD)
+        await trio.sleep(2.0)
+        deployment.replicas.databases[SECOND].is_replication_cut = True
+        await trio.sleep(2.0)
+        await write(deployment, 2, 3.0)
+        assert deployment.replicas.databases[THIRD].paused_term is None
+        deployment.replicas.crash(THIRD)
+        deployment.replicas.databases[SECOND].is_replication_cut = False
+        await write(deployment, 3, 1.0)
+        await trio.sleep(1.6)
+        assert "upstreams/orders-2" in deployment.store.items
+        await lose_primary_and_all(deployment)
+        deployment.replicas.add_database(FOURTH)
+        assert await wait_written(deployment, 1, 30.0) < 10.0
+
+    check_nothing_lost(run_scenario(scenario))
--- a/celeryfold/soak/deployment.py
+++ b/celeryfold/soak/deployment.py
@@ -37,6 +37,7 @@
 GRACE_S = 4.0
 RESTART_S = 0.3
 EXIT_POLL_S = 0.05
+REFUSAL_POLL_S = 0.02
 N_PORTS = 4
 N_DATABASES = 3
 # Time for instances to learn of a lost log and to find its commits elsewhere.
@@ -45,14 +46,20 @@
 # process while it is stopped.
 FIRST_PORT = 10_000
 LAST_PORT = 30_000
+# Ports of instances are free for a while after they were chosen, and those of stopped
+# databases, so they come from ranges of their own.
+FIRST_INSTANCE_PORT = 15_000
 # A client that does not read its answer ends its session.
 EXPECTED_ERRORS = ("trio.TooSlowError",)
 
 
-def _find_free_ports(n_ports: int) -> list[int]:
-    """Return free ports of the loopback address."""
+def _find_free_ports(n_ports: int, ports: range) -> list[int]:
+    """Return free ports of the loopback address.
+
+    :param ports: the ports to choose from.
+    """
     found: list[int] = []
-    for port in random.sample(range(FIRST_PORT, LAST_PORT), LAST_PORT - FIRST_PORT):
+    for port in random.sample(ports, len(ports)):
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
@@ -128,7 +135,9 @@
         for database in list(self.standin.replicas.databases.values()):
             await self._forward(database)
         self.publish()
-        ports = _find_free_ports(N_PORTS * self._n_instances)
+        nursery.start_soon(self._refuse_connections)
+        choice = range(FIRST_INSTANCE_PORT, LAST_PORT)
+        ports = _find_free_ports(N_PORTS * self._n_instances, choice)
         for number in range(self._n_instances):
             own = ports[number * N_PORTS : (number + 1) * N_PORTS]
             instance = _Instance(number, own, self.standin.http.port)
@@ -143,12 +152,34 @@
         """Put a forwarder before a database."""
         assert self._nursery is not None
         forwarder = Forwarder(int(database.upstream.address.rpartition(":")[2]))
-        await forwarder.start(self._nursery)
+        (port,) = _find_free_ports(1, range(FIRST_PORT, FIRST_INSTANCE_PORT))
+        await forwarder.start(self._nursery, port)
         self.databases[database.upstream.upstream_id] = forwarder
         database.upstream = msgspec.structs.replace(
             database.upstream, address=f"127.0.0.1:{forwarder.port}"
         )
 
+    async def _refuse_connections(self) -> None:
+        """Let the hosts of stopped databases refuse connections, until cancelled.
+
+        Those of silent ones accept connections and do not answer.
+        """
+        known: dict[UpstreamId, Forwarder] = {}
+        while True:
+            await trio.sleep(REFUSAL_POLL_S)
+            for forwarder in set(known.values()) - set(self.databases.values()):
+                forwarder.refuse()
+            known = dict(self.databases)
+            for name, forwarder in known.items():
+                database = self.standin.replicas.databases.get(name)
+                if database is None:
+                    continue
+                is_refusing = not database.is_alive and not database.is_silent
+                if is_refusing:
+                    forwarder.refuse()
+                elif forwarder.is_refusing:
+                    await forwarder.accept()
+
     def record(self, text: str) -> None:
         """Add a line to the injected faults."""
         at_s = trio.current_time() - self.faults_begun_at
--- a/celeryfold/soak/forwarder.py
+++ b/celeryfold/soak/forwarder.py
@@ -43,13 +43,41 @@
         self.cuts_from_target = False
         self._connections: set[_ForwardedConnection] = set()
         self._nursery: trio.Nursery | None = None
+        self._listening = trio.CancelScope()
 
-    async def start(self, nursery: trio.Nursery) -> None:
-        """Listen on a free port, which becomes `port`."""
-        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
-        self.port = listeners[0].socket.getsockname()[1]
+    async def start(self, nursery: trio.Nursery, port: int = 0) -> None:
+        """Listen on a port, which becomes `port`.
+
+        :param port: the port, or 0 for any that is free.
+        """
+        self.port = port
         self._nursery = nursery
-        nursery.start_soon(trio.serve_listeners, self._forward, listeners)
+        await self.accept()
+
+    async def accept(self) -> None:
+        """Accept connections, for the first time or again."""
+        assert self._nursery is not None
+        listeners = await trio.open_tcp_listeners(self.port, host="127.0.0.1")
+        self.port = listeners[0].socket.getsockname()[1]
+        self._listening = trio.CancelScope()
+        self._nursery.start_soon(self._listen, listeners, self._listening)
+
+    async def _listen(
+        self, listeners: list[trio.SocketListener], scope: trio.CancelScope
+    ) -> None:
+        with scope:
+            await trio.serve_listeners(
+                self._forward, listeners, handler_nursery=self._nursery
+            )
+
+    def refuse(self) -> None:
+        """Refuse new connections, as a host without the process does."""
+        self._listening.cancel()
+
+    @property
+    def is_refusing(self) -> bool:
+        """Whether new connections are refused."""
+        return self._listening.cancel_called
 
     @property
     def is_disturbed(self) -> bool:
--- a/celeryfold/soak/tests/test_soak.py
+++ b/celeryfold/soak/tests/test_soak.py
@@ -179,11 +179,12 @@
     run_scenario(scenario)
 
 
-# Guards the checks LOST and RECOVER against the two faults of the review: a promotion
-# that is carried out late, and a primary lost beside all processes.
+# Guards the checks LOST and RECOVER against the faults of the reviews: a promotion that
+# is carried out late, a primary lost beside all processes, also while a replica leaves.
 # In a new store no duty is taken for the first 5 s.
 @pytest.mark.parametrize(
-    ("fault", "seed", "seconds"), [("late-promotion", 1, 12.0), ("lose-all", 2, 5.0)]
+    ("fault", "seed", "seconds"),
+    [("late-promotion", 1, 12.0), ("lose-all", 2, 5.0), ("replace", 16, 20.0)],
 )
 def test_no_promise_is_broken_by_late_promotions_or_a_loss_of_all(
     tmp_path, fault, seed, seconds
