Answer HEAD requests without a body; no response ends more than its connection

Cause: the body of the response was handed to the parser, which allows none there; its LocalProtocolError left the connection's task and ended the main nursery. The same held for CONNECT and for a status without a body.

HEAD is answered with the headers of GET, CONNECT is refused, and a response that breaks the protocol is logged and ends its connection.

--- a/celeryfold/wire/server.py
+++ b/celeryfold/wire/server.py
@@ -149,7 +149,8 @@
                 scope.deadline = math.inf
                 response = await self._handle_request(handler, request)
                 scope.deadline = trio.current_time() + WRITE_TIMEOUT_S
-                await _send(stream, parser, response, self.is_stopping)
+                is_head = request.method == "HEAD"
+                await _send(stream, parser, response, self.is_stopping, is_head)
             finally:
                 self._n_requests_in_progress -= 1
             if response.close or parser.our_state is not h11.DONE:
@@ -204,6 +205,9 @@
             return None
         path, _, query = head.target.decode("ascii", "replace").partition("?")
         method = head.method.decode("ascii")
+        if method == "CONNECT":
+            text = "CONNECT is not supported; use another method"
+            raise RequestFailure(ErrorKind.BAD_REQUEST, text)
         return HttpRequest(method, path, bytes(body), query, head.headers)
 
 
@@ -238,7 +242,13 @@
     parser: h11.Connection,
     response: HttpResponse,
     close: bool = False,
+    is_head: bool = False,
 ) -> None:
+    """Send a response.
+
+    :param close: whether the connection is closed after it.
+    :param is_head: whether it answers a HEAD request, so that its body is left out.
+    """
     headers = [
         ("Content-Type", response.content_type),
         ("Content-Length", str(len(response.body))),
@@ -249,9 +259,13 @@
     if parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
         return
     head = h11.Response(status_code=response.status, headers=headers)
-    parts = [
-        parser.send(head) or b"",
-        parser.send(h11.Data(data=response.body)) or b"",
-        parser.send(h11.EndOfMessage()) or b"",
-    ]
+    events: list[h11.Event] = [head]
+    if not is_head:
+        events.append(h11.Data(data=response.body))
+    events.append(h11.EndOfMessage())
+    try:
+        parts = [parser.send(event) or b"" for event in events]
+    except h11.LocalProtocolError:
+        log.exception("response not sent", extra={"status": response.status})
+        raise trio.BrokenResourceError("the response breaks the protocol") from None
     await stream.send_all(b"".join(parts))
--- a/celeryfold/wire/tests/test_http.py
+++ b/celeryfold/wire/tests/test_http.py
@@ -278,3 +278,44 @@
             nursery.cancel_scope.cancel()
 
     trio.run(run)
+
+
+# Guards against review case 7: a HEAD request ended the process.
+@pytest.mark.parametrize("method", ["HEAD", "OPTIONS", "CONNECT", "BREW"])
+def test_requests_with_any_method_are_answered_and_do_not_stop_the_server(method):
+    request = f"{method} /metrics HTTP/1.1\r\nHost: x\r\n\r\n".encode()
+    get = b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n"
+    answer = trio.run(send_raw, request + get)
+    expected = b"400" if method == "CONNECT" else b"200"
+    assert answer.startswith(b"HTTP/1.1 " + expected)
+    if method == "HEAD":
+        head, _, rest = answer.partition(b"\r\n\r\n")
+        assert b"content-length: 1" in head.lower()
+        assert rest.startswith(b"HTTP/1.1 200")
+        assert rest.endswith(b"\r\n\r\n0")
+
+
+class OddHandler(ConnectionHandler):
+    """Responds with a body where the protocol allows none."""
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        return HttpResponse(204, b"body")
+
+
+# Guards against a handler whose response the protocol does not allow.
+def test_a_response_that_breaks_the_protocol_ends_its_connection_only():
+    async def run() -> list[bytes]:
+        answers = []
+        async with trio.open_nursery() as nursery:
+            server = HttpServer("127.0.0.1", 0, OddHandler)
+            await server.start(nursery)
+            for _ in range(2):
+                stream = await trio.open_tcp_stream("127.0.0.1", server.port)
+                await stream.send_all(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+                with trio.fail_after(5):
+                    answers.append(await stream.receive_some())
+            await server.close()
+            nursery.cancel_scope.cancel()
+        return answers
+
+    assert trio.run(run) == [b"", b""]
