Report peers as unreachable when the link has no socket left; allow 8,192 sockets

Cause: the error of a new socket was raised outside of the link's own errors, and the limit of the context was its default.

Two tests of links/tests/test_zmq_link.py failed before. Announcing to 2,100 peers at a time was not measured.

--- a/celeryfold/links/tests/test_zmq_link.py
+++ b/celeryfold/links/tests/test_zmq_link.py
@@ -12,6 +12,7 @@
 from celeryfold.fleet.messages import FLEET_CODEC, CheckSlot, CheckSlotReply
 from celeryfold.kernel.errors import ErrorKind
 from celeryfold.kernel.ids import SlotId
+from celeryfold.links import zmq_link
 from celeryfold.links.link import MessageNotSent, PeerUnreachable
 from celeryfold.links.zmq_link import MAX_MESSAGE_BYTES, PeerKeys, ZmqLink
 
@@ -315,3 +316,38 @@
     assert (failure, is_refused) == (ErrorKind.INTERNAL, True)
     assert replies == [True]
     assert seconds < 2.0
+
+
+# Guards against a process that ends, or a guardian whose steps fail, where the link has
+# no socket left for a further peer.
+def test_a_link_without_free_sockets_reports_peers_as_unreachable(monkeypatch):
+    monkeypatch.setattr(zmq_link, "MAX_SOCKETS", 4)
+
+    async def ask(link: ZmqLink, address: str, results: list[str]) -> None:
+        try:
+            await link.request(address, CheckSlot(SlotId("1")), 0.2)
+        except PeerUnreachable as error:
+            results.append(str(error))
+
+    async def run() -> list[str]:
+        results: list[str] = []
+        async with trio.open_nursery() as nursery:
+            link = ZmqLink("127.0.0.1", 0, FLEET_CODEC)
+            await link.start(nursery)
+            async with trio.open_nursery() as requests:
+                for number in range(1, 8):
+                    address = f"127.0.0.{number}:9"
+                    requests.start_soon(ask, link, address, results)
+            await link.close()
+            nursery.cancel_scope.cancel()
+        return results
+
+    results = trio.run(run)
+    assert len(results) == 7
+    assert any("no socket" in text for text in results)
+
+
+def test_a_link_has_sockets_for_more_than_a_thousand_peers():
+    link = ZmqLink("127.0.0.1", 0, FLEET_CODEC)
+    assert link._context.get(zmq.MAX_SOCKETS) > 2_100
+    link._close_sockets()
--- a/celeryfold/links/zmq_link.py
+++ b/celeryfold/links/zmq_link.py
@@ -28,6 +28,8 @@
 
 MAX_MESSAGE_BYTES = 4_000_000
 N_QUEUED_MESSAGES = 10_000
+# A guardian of a large fleet sends requests to all of its peers at a time.
+MAX_SOCKETS = 8_192
 HEARTBEAT_INTERVAL_MS = 5000
 HEARTBEAT_TIMEOUT_MS = 15000
 PEER_IDLE_CLOSE_S = 20.0
@@ -86,6 +88,7 @@
         self._metrics = metrics or Metrics()
         self._keys = keys
         self._context = zmq.Context()
+        self._context.set(zmq.MAX_SOCKETS, MAX_SOCKETS)
         self._router = self._context.socket(zmq.ROUTER)
         self._peers: dict[str, _PeerConnection] = {}
         self._pending: dict[int, _PendingRequest] = {}
@@ -254,8 +257,16 @@
         peer.close_if_unused()
 
     def _connect(self, address: str) -> _PeerConnection:
+        """Open a connection to a peer.
+
+        :raises PeerUnreachable: if the address is none, or no socket is left.
+        """
         assert self._nursery is not None
-        socket = self._context.socket(zmq.DEALER)
+        try:
+            socket = self._context.socket(zmq.DEALER)
+        except zmq.ZMQError as error:
+            self._metrics.count("peer.no_socket")
+            raise PeerUnreachable(f"no socket for {address}: {error}") from error
         _set_options(socket)
         if self._keys is not None:
             socket.curve_serverkey = self._keys.public
