Limit the sessions of an instance so that descriptors are left for all other work

Three quarters of the descriptors that the platform does not reserve for files may now be sessions (3,075 of 4,300); further ones are refused with BUSY, as not run, and the instance is not ready meanwhile, so that new clients go to others.

Without the setting max_descriptors sessions are not limited, as before. Two tests of platform/tests/test_process.py, of which the first failed before for want of a limit.

--- a/celeryfold/platform/settings.py
+++ b/celeryfold/platform/settings.py
@@ -29,6 +29,10 @@
 
 # Metrics port declared in deploy/system.toml.
 METRICS_PORT = 9464
+# Descriptors that the platform reserves for files, and the share of the others that
+# client sessions may take; upstreams, peers and the store need the rest.
+N_FILE_DESCRIPTORS = 200
+SESSION_SHARE = 0.75
 # Environment variable in which the platform passes the path of the settings file.
 SETTINGS_VARIABLE = "CELERYFOLD_BOOT"
 
@@ -109,6 +113,8 @@
     :param grace_s: seconds between the stop signal and the kill signal.
     :param metrics_port: port of the metrics page, on the host of ``probes``.
     :param rate_limit: required for the rates of accounts to be limited.
+    :param max_descriptors: how many descriptors the process may have open; without it
+        the number of client sessions is not limited.
     """
 
     instance: str
@@ -125,6 +131,15 @@
     key_revocation: KeyRevocationSettings | None = None
     rate_limit: RateLimitSettings | None = None
     capacity: CapacitySettings | None = None
+    max_descriptors: int | None = None
+
+    @property
+    def max_sessions(self) -> int | None:
+        """How many client sessions leave enough descriptors for all other work."""
+        if self.max_descriptors is None:
+            return None
+        n_sockets = self.max_descriptors - N_FILE_DESCRIPTORS
+        return int(n_sockets * SESSION_SHARE)
 
     def make_proxy_settings(self) -> ProxySettings:
         """Return the settings of the proxy instance."""
@@ -144,6 +159,7 @@
             else None,
             rate_limit=self.rate_limit.make_bounds() if self.rate_limit else None,
             capacity=self.capacity.make_capacity() if self.capacity else None,
+            max_sessions=self.max_sessions,
         )
 
 
@@ -188,6 +204,10 @@
             errors.append(f"seeds[{index}]: give an IP address and a port")
     if settings.data_centre not in settings.regions:
         errors.append("data_centre: give one of the keys of regions")
+    if settings.max_sessions is not None and settings.max_sessions < 1:
+        errors.append(
+            f"max_descriptors: give at least {N_FILE_DESCRIPTORS + 2}, or leave it out"
+        )
     if settings.grace_s <= 0:
         errors.append("grace_s: give a number of seconds above 0")
     for name, unit in _POSITIVE_FIELDS.items():
--- a/celeryfold/platform/tests/test_process.py
+++ b/celeryfold/platform/tests/test_process.py
@@ -11,12 +11,15 @@
 from pathlib import Path
 
 import msgspec
+import pytest
 import trio
 
 from celeryfold.bench.processes import find_free_ports
+from celeryfold.exceptions import BadInput
 from celeryfold.platform.lines import MAX_LINE_BYTES, LineStream, open_line_stream
-from celeryfold.platform.settings import SETTINGS_VARIABLE
+from celeryfold.platform.settings import SETTINGS_VARIABLE, load_platform_settings
 from celeryfold.platform.standins import PlatformStandin
+from celeryfold.wire.client import HttpClient
 
 START_TIMEOUT_S = 20.0
 STEP_TIMEOUT_S = 10.0
@@ -56,7 +59,9 @@
         return lines
 
 
-def write_settings(folder: Path, standin: PlatformStandin, ports: list[int]) -> Path:
+def write_settings(
+    folder: Path, standin: PlatformStandin, ports: list[int], **further: object
+) -> Path:
     clients, probes, peers = (f"127.0.0.1:{port}" for port in ports[:3])
     settings = {
         "instance": "proxy-1",
@@ -70,6 +75,7 @@
         "store": f"127.0.0.1:{standin.http.port}",
         "promotions": f"127.0.0.1:{standin.http.port}",
         "grace_s": 8,
+        **further,
     }
     path = folder / "settings.json"
     path.write_bytes(msgspec.json.encode(settings))
@@ -91,8 +97,12 @@
 def run_scenario(
     folder: Path,
     scenario: Callable[[PlatformStandin, list[int], subprocess.Popen], Awaitable[None]],
+    **settings_fields: object,
 ) -> str:
-    """Run a scenario against a process of the program; return its log output."""
+    """Run a scenario against a process of the program; return its log output.
+
+    :param settings_fields: further fields of the settings.
+    """
     ports = find_free_ports(4)
     output = folder / "output"
 
@@ -101,7 +111,7 @@
         async with trio.open_nursery() as nursery:
             await standin.start(nursery)
             standin.publish(7, DATABASES)
-            settings = write_settings(folder, standin, ports)
+            settings = write_settings(folder, standin, ports, **settings_fields)
             command = [sys.executable, "-m", "celeryfold", "proxy"]
             environment = {**os.environ, SETTINGS_VARIABLE: str(settings)}
             with output.open("wb") as file:
@@ -264,3 +274,33 @@
         assert text in logged
     assert "unreadable configuration" in logged
     assert "5ecret" not in logged
+
+
+# Guards against a process without free descriptors, which can serve nobody.
+def test_sessions_over_the_limit_are_refused_and_the_others_served(tmp_path):
+    async def scenario(standin, ports, process):
+        clients = [await Client.open(ports[0], "o") for _ in range(30)]
+        probe = HttpClient(f"127.0.0.1:{ports[1]}")
+        assert (await probe.request("GET", "/readiness")).status == 503
+        for _ in range(3):
+            lines = await open_line_stream("127.0.0.1", ports[0])
+            await lines.send(["START o someone"])
+            with trio.fail_after(STEP_TIMEOUT_S):
+                line = await lines.receive()
+                assert line is not None and line.startswith(b"ERROR BUSY ")
+                assert await lines.receive() is None
+            await lines.close()
+        assert (await clients[0].ask("WRITE k1 hello"))[0].startswith("COMPLETE")
+        await clients.pop().lines.close()
+        await wait_ready(ports[1])
+        await Client.open(ports[0], "o")
+
+    run_scenario(tmp_path, scenario, max_descriptors=240)
+
+
+def test_too_few_descriptors_are_a_clear_error(tmp_path):
+    standin = PlatformStandin("orders")
+    standin.http.port = 1
+    path = write_settings(tmp_path, standin, [1, 2, 3, 4], max_descriptors=200)
+    with pytest.raises(BadInput, match="max_descriptors: give at least 202"):
+        load_platform_settings(path)
--- a/celeryfold/proxy/client_listener.py
+++ b/celeryfold/proxy/client_listener.py
@@ -158,6 +158,8 @@
     :param make_channel: returns the message channel of a connection.
     :param wait_until_loaded: returns once there is a configuration.
     :param ports: the services that sessions use.
+    :param max_sessions: how many client connections there may be, or None for any
+        number. Each takes a descriptor, and without descriptors nothing can be served.
     """
 
     def __init__(
@@ -169,7 +171,9 @@
         ports: SessionPorts,
         clock: Clock,
         metrics: Metrics,
+        max_sessions: int | None = None,
     ) -> None:
+        self._max_sessions = math.inf if max_sessions is None else max_sessions
         self.host = host
         self.port = port
         self._make_channel = make_channel
@@ -205,6 +209,11 @@
         """Number of client connections."""
         return len(self._clients)
 
+    @property
+    def is_full(self) -> bool:
+        """Whether a further client would be refused."""
+        return len(self._clients) >= self._max_sessions
+
     async def stop(self, grace_s: float) -> None:
         """Stop accepting connections and end all sessions, but let statements finish.
 
@@ -308,6 +317,11 @@
         if not isinstance(message, StartSession):
             await channel.reject(_describe_bad_start(message))
             return None
+        if len(self._clients) > self._max_sessions:
+            self._metrics.count("session.over_limit")
+            text = "this instance has too many sessions; retry at another one"
+            await channel.reject(UpstreamError(ErrorKind.OVERLOADED, text))
+            return None
         with trio.move_on_after(CONFIGURATION_TIMEOUT_S) as waiting:
             await self._wait_until_loaded()
         if waiting.cancelled_caught:
--- a/celeryfold/proxy/instance.py
+++ b/celeryfold/proxy/instance.py
@@ -73,6 +73,7 @@
     :param key_revocation: None to accept keys whatever the configuration's age.
     :param rate_limit: tolerance of the accounts' rates; None for no rate limits.
     :param capacity: None if all instances count as equal.
+    :param max_sessions: how many client connections there may be; None for any number.
     """
 
     instance_id: InstanceId
@@ -86,6 +87,7 @@
     key_revocation: KeyRevocation | None = None
     rate_limit: RateLimitBounds | None = None
     capacity: Capacity | None = None
+    max_sessions: int | None = None
 
 
 @dataclass(frozen=True)
@@ -191,6 +193,7 @@
             self,
             clock,
             metrics,
+            settings.max_sessions,
         )
         self._guardians: dict[ServiceId, Guardian] = {}
         self._guardian_scope = trio.CancelScope()
@@ -272,6 +275,8 @@
         """Whether the instance can serve new clients."""
         if self.is_leaving or self.routes.table is None:
             return False
+        if self.client_listener.is_full:
+            return False
         services = self.routes.table.list_services()
         return not services or any(
             self.directory.list_service(service) for service in services
