Record the fleet in the store: a restart during a partition keeps the rates

Cause: which instances exist was known from peers only, so that each side took itself for the whole fleet, reach 1, and granted the whole rate.

One instance of each region writes those that it knows to celeryfold/fleet/REGION when they change and any account has a rate; a started instance reads all of them with its first listing, which costs no call more, and counts those that it does not see within 1.6 s as missing. A restart of all without a partition lowers no share.

--- a/celeryfold/accounts/fleet.py
+++ b/celeryfold/accounts/fleet.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-__all__ = ["Fleet", "MissingMember", "Sighting"]
+__all__ = ["Fleet", "MissingMember", "RecordedInstance", "Sighting"]
 
 import math
 from collections.abc import Callable, Iterable, Sequence
@@ -21,6 +21,8 @@
 # An instance is replaced only after this time. An instance on the other side of a
 # partition has then noticed it, even if it got its last news one lag later.
 REPLACED_AFTER_S = MISSING_AFTER_S + MAX_VIEW_LAG_S
+# A started instance sees those that run within this time.
+EXPECTED_WITHIN_S = 1.6
 # Instances that are missing count as cut off for this time, and as ended later. It is
 # longer than usual partitions, and shorter than operators take to replace instances.
 FORGOTTEN_AFTER_S = 120.0
@@ -63,6 +65,14 @@
     age_s: float
 
 
+class RecordedInstance(msgspec.Struct, frozen=True, array_like=True, order=True):
+    """An instance in the record that the store keeps for instances that start."""
+
+    instance_id: InstanceId
+    address: str
+    region: RegionId | None
+
+
 class Fleet:
     """The instances known to this one, for the choice of rate coordinators.
 
@@ -157,6 +167,30 @@
             if now - m.last_seen_at >= MISSING_AFTER_S
         )
 
+    def list_recorded(self, region: RegionId | None) -> tuple[RecordedInstance, ...]:
+        """Return the known instances of a region for the record, in order."""
+        recorded = [
+            RecordedInstance(m.instance_id, m.address, m.region)
+            for m in self._members.values()
+            if m.region == region
+        ]
+        return tuple(sorted(recorded, key=lambda r: (r.instance_id, r.address)))
+
+    def expect(self, recorded: Iterable[RecordedInstance]) -> None:
+        """Learn at the start of instances that may be out of reach.
+
+        One that is not seen soon is missing, as on the other side of a partition.
+        """
+        now = self._clock()
+        seen_at = now - (MISSING_AFTER_S - EXPECTED_WITHIN_S)
+        for r in recorded:
+            sighting = Sighting(r.instance_id, r.address, r.region, seen_at, False)
+            self._merge(sighting, now)
+        if not self._members:
+            return
+        self._choose_candidates(now)
+        self._update_reached_share(now)
+
     def merge_missing(self, members: Sequence[MissingMember]) -> None:
         """Learn of instances that disappeared before this one started.
 
--- a/celeryfold/accounts/tests/rate_model.py
+++ b/celeryfold/accounts/tests/rate_model.py
@@ -10,7 +10,7 @@
 import itertools
 from dataclasses import dataclass, field
 
-from celeryfold.accounts.fleet import Fleet, Sighting
+from celeryfold.accounts.fleet import Fleet, RecordedInstance, Sighting
 from celeryfold.accounts.rate_messages import Verdict
 from celeryfold.accounts.rates import RateLimitBounds
 from celeryfold.accounts.roles import CoordinatorRoles, RoleRules
@@ -44,6 +44,7 @@
         )
         self.granter = TokenGranter(self.roles, BOUNDS, model.read_clock)
         self.seen: dict[str, float] = {}
+        self.fleet.expect(model.recorded if model.keeps_record else ())
 
     def update(self) -> None:
         model = self.model
@@ -91,6 +92,7 @@
     :param lag_s: how old the news of other instances is when it arrives.
     :param shares_memory: whether leases carry the missing instances and the number of
         known ones, as they do.
+    :param keeps_record: whether the store's record of the fleet is read at each start.
     :param idle: the instances whose clients take no tokens.
     """
 
@@ -105,6 +107,8 @@
     deaf_until: dict[tuple[str, str], float] = field(default_factory=dict)
     started: list[tuple[float, int]] = field(default_factory=list)
     idle: set[str] = field(default_factory=set)
+    keeps_record: bool = False
+    recorded: tuple[RecordedInstance, ...] = ()
 
     def __post_init__(self) -> None:
         names = [f"i{number}" for number in range(self.n_instances)]
@@ -115,6 +119,9 @@
             self.step(wants_tokens=False)
         ranked = next(iter(self.running.values())).fleet.rank(ACCOUNT)
         coordinators: list[str] = [member.instance_id for member in ranked]
+        self.recorded = tuple(
+            RecordedInstance(InstanceId(n), n, RegionId("r")) for n in names
+        )
         others = [n for n in names if n not in coordinators]
         self.order = [*coordinators, *others]
 
--- a/celeryfold/accounts/tests/test_rate_bound.py
+++ b/celeryfold/accounts/tests/test_rate_bound.py
@@ -328,3 +328,58 @@
     model = run_events(events, 0.4)
     late = [n for at, n in model.started if model.now - 12.0 < at <= model.now - 4.0]
     assert sum(late) >= least * 40.0 * 8.0
+
+
+def restart_together(model: RateModel, names: list[str]) -> None:
+    """Kill instances at the same moment, and start them one step later."""
+    for name in names:
+        model.kill(name)
+    model.step()
+    for name in names:
+        model.start(name)
+
+
+def run_partition_restart(
+    n_instances: int, n_on_side: int, is_whole: bool, keeps_record: bool
+) -> RateModel:
+    """Cut a fleet in two and restart it, or one side, while the cut lasts.
+
+    :param n_on_side: how many instances are on one side of the cut.
+    :param is_whole: whether both sides are restarted.
+    """
+    model = RateModel(LARGE, n_instances=n_instances, keeps_record=keeps_record)
+    model.run(2.0)
+    side = model.order[:n_on_side]
+    model.cut(set(side))
+    model.run(2.0)
+    restart_together(model, model.order if is_whole else side)
+    model.run(30.0)
+    model.cuts.clear()
+    model.run(30.0)
+    return model
+
+
+# Guards against review case 6: each side of a partition grants the whole rate after all
+# processes were killed.
+@pytest.mark.parametrize("is_whole", [True, False])
+@pytest.mark.parametrize(("n_instances", "n_on_side"), [(4, 2), (9, 3), (9, 6), (6, 1)])
+def test_a_restart_during_a_partition_keeps_the_bound(n_instances, n_on_side, is_whole):
+    model = run_partition_restart(n_instances, n_on_side, is_whole, True)
+    assert model.count_densest() <= compute_limit(LARGE)
+
+
+def test_without_the_record_a_restart_during_a_partition_exceeds_the_bound():
+    model = run_partition_restart(4, 2, True, False)
+    assert model.count_densest() > compute_limit(LARGE)
+
+
+def test_a_restart_of_all_without_a_partition_costs_no_rate():
+    served = []
+    for keeps_record in (False, True):
+        model = RateModel(LARGE, n_instances=6, keeps_record=keeps_record)
+        model.run(2.0)
+        restart_together(model, model.order)
+        model.started.clear()
+        model.run(20.0)
+        served.append(sum(n for _, n in model.started))
+    assert served[1] >= served[0]
--- a/celeryfold/proxy/instance.py
+++ b/celeryfold/proxy/instance.py
@@ -29,6 +29,7 @@
 from .clock import Clock
 from .directory import Directory
 from .executor_registry import ExecutorRegistry
+from .fleet_records import FleetRecordKeeper
 from .gossip import PeerGossip
 from .home import HomeServer
 from .leases import Duty, LeaseManager
@@ -217,6 +218,17 @@
             self.clock,
             self.metrics,
         )
+        self.fleet_records = FleetRecordKeeper(
+            KEY_PREFIX,
+            self.settings.regions.get(self.settings.place),
+            self._platform.store,
+            self.watcher,
+            self.peers,
+            self.rate_coordinator.fleet,
+            lambda: self.rate_coordinator.granter.has_rates,
+            self.metrics,
+        )
+        self.watcher.subscribe(self.fleet_records.read)
         self.rates: RateLimiter = DistributedRateLimiter(
             self.settings.instance_id,
             self.link,
@@ -235,6 +247,7 @@
             "sampler": self.sampler.run,
             "leases": self.lease_manager.run,
             "rates": self.rate_coordinator.run,
+            "fleet record": self.fleet_records.run,
             "housekeeping": self._run_housekeeping,
             "key revocation": self._end_revoked_sessions,
         }
