Tests of the targets in the record: writes go on soon after a restart of all

All processes killed 0 or 0.1 s after a promotion: on the untouched code the next write succeeded 2.1 s after the start of the processes in the simulated deployment (bound 1.5 s), as writes stayed suspended until the next holder had confirmed the primary.

--- a/celeryfold/proxy/tests/test_late_promotions.py
+++ b/celeryfold/proxy/tests/test_late_promotions.py
@@ -5,7 +5,9 @@
 import pytest
 import trio
 
+from celeryfold.kernel.decoding import decode_json
 from celeryfold.kernel.ids import UpstreamId
+from celeryfold.proxy.duty_record import DutyRecord
 from celeryfold.proxy.promoter import N_PROMOTION_ATTEMPTS
 from celeryfold.proxy.routes import Consistency
 from celeryfold.proxy.statements import Write
@@ -18,6 +20,7 @@
     THIRD,
     check_nothing_lost,
     find_leader_id,
+    restart_all,
     wait_written,
 )
 from .test_restored_store import OWN_PREFIX
@@ -211,3 +214,71 @@
         await write_and_wait(deployment, other, 22.0)
 
     check_nothing_lost(run_scenario(scenario))
+
+
+async def kill_all_after_promotion(
+    deployment: SimulatedDeployment, after_s: float
+) -> UpstreamId:
+    """Have the primary replaced, and kill all processes soon after that."""
+    deployment.replicas.crash(FIRST)
+    with trio.fail_after(10.0):
+        while find_leader_id(deployment) == FIRST:
+            await trio.sleep(0.005)
+    await trio.sleep(after_s)
+    leader = find_leader_id(deployment)
+    await restart_all(deployment)
+    return leader
+
+
+# Guards against writes that stay suspended after a restart of all processes, though the
+# last call named the upstream that leads.
+@pytest.mark.parametrize("after_s", [0.0, 0.1, 0.4])
+def test_after_a_restart_writes_go_on_at_the_upstream_that_was_promoted(after_s):
+    async def scenario(deployment: SimulatedDeployment) -> None:
+        leader = await kill_all_after_promotion(deployment, after_s)
+        assert await wait_written(deployment, 1, 20.0) < 1.5
+        assert find_leader_id(deployment) == leader
+
+    check_nothing_lost(run_scenario(scenario))
+
+
+# Guards against a record that does not name an upstream which a call may promote.
+def test_the_record_names_the_targets_before_a_call_is_sent():
+    async def scenario(deployment: SimulatedDeployment) -> None:
+        recorded = []
+        promote = deployment.replicas.promote
+
+        async def record_targets(service, upstream, holder, token) -> None:
+            item = deployment.store.items[f"celeryfold/members/{service}"]
+            record = decode_json(item.value, DutyRecord)
+            recorded.append((upstream, record.is_settled, record.targets))
+            await promote(service, upstream, holder, token)
+
+        deployment.replicas.promote = record_targets
+        deployment.replicas.n_promotions_to_lose = 2
+        deployment.replicas.crash(FIRST)
+        await wait_written(deployment, 1, 10.0)
+        assert recorded
+        for upstream, is_settled, targets in recorded:
+            assert not is_settled
+            assert upstream in targets
+
+    check_nothing_lost(run_scenario(scenario))
+
+
+# Guards against commits that are lost beside an open call whose target is known.
+def test_a_next_holder_that_knows_the_target_settles_the_call():
+    async def scenario(deployment: SimulatedDeployment) -> None:
+        replicas = deployment.replicas
+        replicas.promotion_lateness_s = [8.0] * 8
+        replicas.crash(FIRST)
+        with trio.fail_after(10.0):
+            while not replicas.n_promotion_calls:
+                await trio.sleep(0.01)
+        replicas.restart(FIRST)
+        await restart_all(deployment)
+        await wait_written(deployment, 1, 20.0)
+        await trio.sleep(10.0)
+        await wait_written(deployment, 1, 5.0)
+
+    check_nothing_lost(run_scenario(scenario))
