Let leaving replicas receive again at once when the one that stays receives nothing

Writes stood still for a median of 1.14 s (worst 1.30 s) where the only replica that stays stopped receiving while the leaving one was paused: a check compared it with the position one interval before, so the second one found it, and the RESUME waited for the next step.

--- a/celeryfold/proxy/guardian.py
+++ b/celeryfold/proxy/guardian.py
@@ -231,8 +231,8 @@
         leader = self._ports.directory.find(newest.upstream)
         if leader is not None and leader.is_leaving:
             await self._hand_over(leader, newest)
-        else:
-            await self._retirement.step(newest, self._ack_set.members)
+        elif await self._retirement.step(newest, self._ack_set.members):
+            await self._resume_replicas()
 
     def _find_patience_s(self) -> float:
         """Return for how long after the start a primary may stay unknown, in seconds.
--- a/celeryfold/proxy/retirement.py
+++ b/celeryfold/proxy/retirement.py
@@ -6,7 +6,9 @@
 
 import logging
 import math
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
+
+import trio
 
 from ..kernel.ids import ServiceId, Term, UpstreamId
 from ..kernel.metrics import Metrics
@@ -20,10 +22,12 @@
 
 log = logging.getLogger(__name__)
 
-# Interval at which members are asked while a replica leaves. Each answer is compared
-# with the position that the primary had one interval before, so that entries on their
-# way between data centres make no difference.
+# Interval at which members are asked while a replica leaves.
 CHECK_INTERVAL_S = 0.45
+# While leaving ones are paused, a member that lacks the position that the primary has
+# just reported is asked again, so often and after this time.
+N_REPEATS = 2
+REPEAT_INTERVAL_S = 0.15
 # A member that does not answer within this time is asked again the next time.
 STATUS_TIMEOUT_S = 0.25
 # A leaving replica is paused after so many checks in a row in which one that stays has
@@ -68,11 +72,12 @@
         self._checked_at = -math.inf
         self._n_kept_up = 0
 
-    async def step(self, newest: Sample, members: Collection[Member]) -> None:
+    async def step(self, newest: Sample, members: Collection[Member]) -> bool:
         """Pause leaving replicas, or let them receive again.
 
         :param newest: the newest sample of the primary, which leads.
         :param members: the members of the service.
+        :returns: whether paused members are to receive again.
         :raises DutyLost: if the duty may have passed to another holder.
         """
         self._final_positions.retain(members)
@@ -81,26 +86,45 @@
         self._discard_withdrawn()
         if not leaving:
             self.forget()
-            return
+            return False
         if self._clock() - self._checked_at < CHECK_INTERVAL_S:
-            return
+            return False
         self._checked_at = self._clock()
         statuses = await self._controls.read_statuses(members, STATUS_TIMEOUT_S)
         target = self._target
         self._target = max([newest.position, *_list_leading(statuses)])
         self._discard_receiving(statuses)
         if target is None:
-            return
+            return False
         replicas.sort(key=self._find_departure)
-        kept_up = [m for m in replicas if _has_kept_up(statuses.get(m), target)]
+        kept_up = _list_kept_up(replicas, statuses, target)
+        if self._final_positions.list_members():
+            kept_up = _list_kept_up(replicas, statuses, self._target)
+            if not kept_up:
+                kept_up = await self._ask_again(replicas, self._target)
         if not kept_up:
             self._n_kept_up = 0
-            self._release(statuses)
-            return
+            return self._release(statuses)
         self._n_kept_up += 1
         if self._n_kept_up >= N_CHECKS_KEPT_UP:
             later = replicas[: replicas.index(kept_up[0]) + 1]
             await self._pause([m for m in leaving if m not in later], statuses)
+        return False
+
+    async def _ask_again(
+        self, replicas: Collection[Member], target: LogPosition
+    ) -> list[Member]:
+        """Return the members that receive and soon reach a position of the primary.
+
+        Entries may be on their way between data centres.
+        """
+        asked = [m for m in replicas if m not in self._final_positions]
+        for _ in range(N_REPEATS):
+            await trio.sleep(REPEAT_INTERVAL_S)
+            statuses = await self._controls.read_statuses(asked, STATUS_TIMEOUT_S)
+            if kept_up := _list_kept_up(asked, statuses, target):
+                return kept_up
+        return []
 
     def _find_departure(self, member: Member) -> tuple[bool, float, Member]:
         """Return a key that puts those that stay first and those that go first last."""
@@ -120,11 +144,12 @@
             if member in self._final_positions and not status.held_term:
                 self._discard(member, "it has received again")
 
-    def _release(self, statuses: Collection[Member]) -> None:
+    def _release(self, statuses: Collection[Member]) -> bool:
         """Let members that run receive again, since no other replica keeps up."""
-        for member in self._final_positions.list_members():
-            if member in statuses:
-                self._discard(member, "no other replica keeps up")
+        released = [m for m in self._final_positions.list_members() if m in statuses]
+        for member in released:
+            self._discard(member, "no other replica keeps up")
+        return bool(released)
 
     def _discard(self, member: Member, reason: str) -> None:
         """Forget a final position; the guardian lets the member receive again."""
@@ -162,9 +187,19 @@
             log.info("leaving replica paused", extra=extra)
 
 
-def _has_kept_up(status: UpstreamStatus | None, target: LogPosition) -> bool:
-    """Return whether a member receives and has reached a position."""
-    return status is not None and not status.held_term and status.received >= target
+def _list_kept_up(
+    members: Iterable[Member],
+    statuses: Mapping[Member, UpstreamStatus],
+    target: LogPosition,
+) -> list[Member]:
+    """Return the members that receive and have reached a position, in order."""
+    return [
+        member
+        for member in members
+        if member in statuses
+        and not statuses[member].held_term
+        and statuses[member].received >= target
+    ]
 
 
 def _list_leading(statuses: Mapping[Member, UpstreamStatus]) -> list[LogPosition]:
--- a/celeryfold/proxy/tests/test_late_promotions.py
+++ b/celeryfold/proxy/tests/test_late_promotions.py
@@ -243,7 +243,7 @@
 
 
 # Guards against a record that does not name an upstream which a call may promote.
-def test_the_record_names_the_targets_before_a_call_is_sent():
+def test_the_record_names_the_targets_before_a_call_is_sent(monkeypatch):
     async def scenario(deployment: SimulatedDeployment) -> None:
         recorded = []
         promote = deployment.replicas.promote
@@ -254,14 +254,14 @@
             recorded.append((upstream, record.is_settled, record.targets))
             await promote(service, upstream, holder, token)
 
-        deployment.replicas.promote = record_targets
+        monkeypatch.setattr(deployment.replicas, "promote", record_targets)
         deployment.replicas.n_promotions_to_lose = 2
         deployment.replicas.crash(FIRST)
         await wait_written(deployment, 1, 10.0)
         assert recorded
         for upstream, is_settled, targets in recorded:
             assert not is_settled
-            assert upstream in targets
+            assert targets is not None and upstream in targets
 
     check_nothing_lost(run_scenario(scenario))
 
