Give the acknowledging members a module of their own; ask before one is dropped

A stopped member that has started again within the last second counts as running if it answers the question that precedes the drop.

--- a/celeryfold/proxy/guardian.py
+++ b/celeryfold/proxy/guardian.py
@@ -16,13 +16,14 @@
 from ..kernel.metrics import Metrics
 from ..kernel.rendezvous import compute_weight
 from ..kernel.revisions import find_era
+from .ack_set import AckSet
 from .clock import Clock
 from .control_book import ControlConnections
 from .directory import MISSING_GRACE_S, Directory
 from .duty_record import DutyRecord, DutyRecordStore
 from .final_positions import FinalPositions
 from .leases import LEASE_TTL_S, Duty, DutyLost
-from .members import AckSet, Member, choose_caught_up
+from .members import Member, choose_caught_up
 from .open_statements import LATE_STATEMENT_S
 from .peers import PeerTable
 from .positions import LogPosition
@@ -481,13 +482,12 @@
 
     async def _drop_covered_members(self, newest: Sample) -> None:
         """Drop missing members whose acknowledged commits another replica holds."""
-        known = self._ack_set.members | self._ack_set.dropped
-        now = self._clock()
-        self._ack_set.record_ended(self._controls.find_ended(known), now)
-        self._ack_set.record_stopped(self._controls.find_stopped(), now)
+        self._record_departures()
         if not self._ack_set.has_departures:
             return
         statuses = await self._controls.read_statuses()
+        # One that has started again has just answered.
+        self._record_departures()
         positions = {member: status.received for member, status in statuses.items()}
         dropped = self._ack_set.drop_covered(
             newest.position,
@@ -500,6 +500,13 @@
         for member in dropped:
             await self._drop(member)
 
+    def _record_departures(self) -> None:
+        """Record which members do not run, as far as their last answers show."""
+        known = self._ack_set.members | self._ack_set.dropped
+        now = self._clock()
+        self._ack_set.record_ended(self._controls.find_ended(known), now)
+        self._ack_set.record_stopped(self._controls.find_stopped(), now)
+
     async def _drop(self, member: Member) -> None:
         """Close the connection of a dropped member; ask it later if it may be back."""
         await self._controls.drop(member, member in self._ack_set.dropped)
--- a/celeryfold/proxy/promotion_fence.py
+++ b/celeryfold/proxy/promotion_fence.py
@@ -13,10 +13,11 @@
 
 from ..kernel.ids import ServiceId, Term, UpstreamId
 from ..kernel.metrics import Metrics
+from .ack_set import AckSet
 from .clock import Clock
 from .control import ControlFailed
 from .final_positions import FinalPositions
-from .members import AckSet, Member, choose_successor
+from .members import Member, choose_successor
 from .open_statements import LATE_STATEMENT_S
 from .positions import LogPosition
 from .samples import Sample, SampleHistory
--- a/celeryfold/proxy/tests/test_exploration.py
+++ b/celeryfold/proxy/tests/test_exploration.py
@@ -45,7 +45,8 @@
 
 from celeryfold.conftest import count_examples
 from celeryfold.kernel.ids import PlaceId, Position, ServiceId, Term, UpstreamId
-from celeryfold.proxy.members import AckSet, Member, ReplicaProgress, choose_successor
+from celeryfold.proxy.ack_set import AckSet
+from celeryfold.proxy.members import Member, ReplicaProgress, choose_successor
 from celeryfold.proxy.positions import LogPosition
 from celeryfold.proxy.upstream import Upstream
 
--- a/celeryfold/proxy/tests/test_promotion_fence.py
+++ b/celeryfold/proxy/tests/test_promotion_fence.py
@@ -8,9 +8,10 @@
 
 from celeryfold.kernel.ids import Position, ServiceId, Term, UpstreamId
 from celeryfold.kernel.metrics import Metrics
+from celeryfold.proxy.ack_set import AckSet
 from celeryfold.proxy.control_book import ControlConnections
 from celeryfold.proxy.final_positions import FinalPositions
-from celeryfold.proxy.members import AckSet, Member
+from celeryfold.proxy.members import Member
 from celeryfold.proxy.positions import LogPosition
 from celeryfold.proxy.promotion_fence import PromotionFence
 from celeryfold.proxy.samples import Sample, SampleHistory
--- a/celeryfold/proxy/tests/test_samples_and_members.py
+++ b/celeryfold/proxy/tests/test_samples_and_members.py
@@ -8,11 +8,11 @@
 
 from celeryfold.kernel.errors import ERROR_RESPONSES, Ran
 from celeryfold.kernel.ids import PlaceId, Position, ServiceId, Term, UpstreamId
+from celeryfold.proxy.ack_set import AckSet
 from celeryfold.proxy.answers import ERROR_KINDS, FailureCause, SentRequest
 from celeryfold.proxy.calls import OwnWrite
 from celeryfold.proxy.directory import MISSING_GRACE_S, Directory, Listing
 from celeryfold.proxy.members import (
-    AckSet,
     Member,
     ReplicaProgress,
     choose_caught_up,
--- a/celeryfold/proxy/tests/test_unlisted_members.py
+++ b/celeryfold/proxy/tests/test_unlisted_members.py
@@ -15,9 +15,10 @@
 from celeryfold.kernel.metrics import Metrics
 from celeryfold.platform.connections import LineConnector
 from celeryfold.proxy import control_book
+from celeryfold.proxy.ack_set import AckSet
 from celeryfold.proxy.control_book import ControlConnections
 from celeryfold.proxy.duty_record import DutyRecord, MemberAddress
-from celeryfold.proxy.members import AckSet, Contact, Contacts, Member
+from celeryfold.proxy.members import Contact, Contacts, Member
 from celeryfold.proxy.positions import LogPosition
 from celeryfold.proxy.statements import Write
 from celeryfold.proxy.upstream import (
