Do not ask paused replicas that leave whether they are paused, twice

The guardian asked each one every 0.5 s whether to let it receive again, beside the checks of the leaving replicas. Those with a final position are left out.

--- a/celeryfold/proxy/control_book.py
+++ b/celeryfold/proxy/control_book.py
@@ -518,20 +518,20 @@
         """Look at once for members that are paused, at the next call."""
         self._checked_at = -math.inf
 
-    async def find_paused(self) -> list[Member]:
+    async def find_paused(self, excluded: Collection[Member] = ()) -> list[Member]:
         """Return the members that an earlier attempt has left paused.
 
         A member to which a PAUSE without an answer was sent is asked again until it can
         no longer be executed.
+
+        :param excluded: members that are to stay paused.
         """
-        if (
-            not self._paused
-            or self._clock() - self._checked_at < PAUSE_CHECK_INTERVAL_S
-        ):
+        self._paused &= self._controls.keys()
+        asked = self._paused.difference(excluded)
+        if not asked or self._clock() - self._checked_at < PAUSE_CHECK_INTERVAL_S:
             return []
         self._checked_at = self._clock()
-        self._paused &= self._controls.keys()
-        statuses = await self.read_statuses(list(self._paused), PAUSE_CHECK_TIMEOUT_S)
+        statuses = await self.read_statuses(asked, PAUSE_CHECK_TIMEOUT_S)
         pausing = self._open_statements.list_open(StatementKind.PAUSE, self._clock())
         found = []
         for member, status in statuses.items():
--- a/celeryfold/proxy/guardian.py
+++ b/celeryfold/proxy/guardian.py
@@ -314,8 +314,8 @@
         the next holder has paused them again.
         """
         await self._fence.resume_writes()
-        paused = await self._controls.find_paused()
-        paused = [m for m in paused if m not in self._final_positions]
+        final = self._final_positions.list_members()
+        paused = await self._controls.find_paused(final)
         if paused:
             record = self._record.record
             await self._record.update(
