Name the target of an accepted call in the record until it has taken effect

A call that the platform has answered is not open any more, but promotes its target up to 1.5 s later. A record that was written again in between named no target, so that the next holder would have let clients write to a former primary that is back. Found by reading; test_the_record_names_the_target_of_an_accepted_call failed before in its three runs.

--- a/celeryfold/proxy/promoter.py
+++ b/celeryfold/proxy/promoter.py
@@ -76,6 +76,8 @@
         self._calls = PromotionCalls()
         self._confirmed_at = -math.inf
         self._accepted_at = -math.inf
+        # The upstream that the last accepted call names.
+        self._accepted: UpstreamId | None = None
         # When a promotion was last requested, and when one last succeeded.
         self.requested_at = -math.inf
         self.promoted_at = -math.inf
@@ -93,8 +95,15 @@
 
     @property
     def open_targets(self) -> frozenset[UpstreamId] | None:
-        """The upstreams that open calls may name, or None if they are not known."""
-        return self._calls.named
+        """The upstreams that calls may still promote, or None if they are not known.
+
+        An accepted call takes effect some time after its answer.
+        """
+        named = self._calls.named
+        is_accepted = self._clock() - self._accepted_at <= PROMOTION_DURATION_S
+        if named is None or self._accepted is None or not is_accepted:
+            return named
+        return named | {self._accepted}
 
     def may_depose(self, primary: UpstreamId) -> bool:
         """Return whether an open call may name an upstream other than the primary."""
@@ -285,6 +294,7 @@
             return PROMOTION_RETRY_S
         self._calls.record_answered(chosen.upstream_id)
         self._accepted_at = self._clock()
+        self._accepted = chosen.upstream_id
         return PROMOTION_TIMEOUT_S
 
     async def _wait_until_leader(self, chosen: Member, wait_s: float) -> bool:
--- a/celeryfold/proxy/tests/test_late_promotions.py
+++ b/celeryfold/proxy/tests/test_late_promotions.py
@@ -282,3 +282,33 @@
         await wait_written(deployment, 1, 5.0)
 
     check_nothing_lost(run_scenario(scenario))
+
+
+# Guards against a next holder that lets clients write to the former primary although
+# the platform has accepted a call that takes effect a second later.
+@pytest.mark.parametrize("after_s", [0.05, 0.3, 0.6])
+def test_the_record_names_the_target_of_an_accepted_call(after_s):
+    async def scenario(deployment: SimulatedDeployment) -> None:
+        replicas = deployment.replicas
+        replicas.promotion_delay_s = 1.4
+        replicas.crash(FIRST)
+        with trio.fail_after(10.0):
+            while not replicas.promotions:
+                await trio.sleep(0.01)
+        await trio.sleep(after_s)
+        replicas.restart(FIRST)
+        replicas.add_database(UpstreamId("orders-9"))
+        item = deployment.store.items[f"celeryfold/members/{deployment.service}"]
+        record = decode_json(item.value, DutyRecord)
+        assert not record.is_settled
+        accepted = replicas.promotions[-1][3]
+        assert accepted in (record.targets or ())
+        number = deployment.find_guardian()
+        assert number is not None
+        guardian = deployment.instances[number]._guardians[deployment.service]
+        # A record that is written again meanwhile names it, too.
+        assert accepted in (guardian._make_record("", False).targets or ())
+        await restart_all(deployment)
+        await wait_written(deployment, 1, 20.0)
+
+    check_nothing_lost(run_scenario(scenario))
