Wait for a replaced replica while instances remember its commits

A dropped replica that had come back in an outage of the store, acknowledged alone and started again empty under another id at its address was no longer waited for, though an instance had heard of a later position than all others hold: a commit was lost. The rule that what was replaced does not come back now applies only where no position is known. Found by reading; test_a_replaced_replica_is_waited_for_while_its_commits_are_remembered failed before.

--- a/celeryfold/proxy/promotion_fence.py
+++ b/celeryfold/proxy/promotion_fence.py
@@ -426,11 +426,11 @@
     def _list_doubted(self, held: Collection[Member]) -> frozenset[Member]:
         """Return the dropped members that may have acknowledged commits unseen.
 
-        One whose address or id has passed to a member that is held is not waited for:
-        it does not come back.
+        Where no position of a primary is known, one whose address or id has passed to a
+        member that is held is not waited for: it does not come back.
         """
         doubted = self._ack_set.in_doubt
-        if self._samples.find_highest_position(self._service) is None:
-            doubted |= self._ack_set.dropped - self._ack_set.leaving
-        replaced = self._controls.list_replaced(doubted, held)
-        return doubted.difference(replaced)
+        if self._samples.find_highest_position(self._service) is not None:
+            return doubted
+        doubted |= self._ack_set.dropped - self._ack_set.leaving
+        return doubted.difference(self._controls.list_replaced(doubted, held))
--- a/celeryfold/proxy/tests/test_leaving_logs.py
+++ b/celeryfold/proxy/tests/test_leaving_logs.py
@@ -439,3 +439,31 @@
         assert await wait_written(deployment, 1, 30.0) < 10.0
 
     check_nothing_lost(run_scenario(scenario))
+
+
+# Guards against commits that an instance has heard of: a dropped replica came back in an
+# outage of the store, acknowledged alone, and started again empty.
+def test_a_replaced_replica_is_waited_for_while_its_commits_are_remembered():
+    async def scenario(deployment: SimulatedDeployment) -> None:
+        replicas = deployment.replicas
+        await write(deployment, 1, 1.0)
+        replicas.crash(THIRD)
+        await trio.sleep(10.0)
+        deployment.store.is_down = True
+        await trio.sleep(4.0)
+        replicas.restart(THIRD)
+        await acknowledge_alone(deployment)
+        await trio.sleep(1.0)
+        replicas.databases[THIRD].is_replication_cut = True
+        replicas.crash(THIRD)
+        replicas.restart(THIRD, is_empty=True, new_id=FOURTH)
+        replicas.crash(FIRST)
+        replicas.databases[SECOND].is_replication_cut = False
+        deployment.store.is_down = False
+        await trio.sleep(10.0)
+        assert not replicas.promotions
+        replicas.restart(FIRST)
+        replicas.databases[FOURTH].is_replication_cut = False
+        await wait_written(deployment, 1, 15.0)
+
+    check_nothing_lost(run_scenario(scenario))
