--- a/celeryfold/proxy/tests/test_leaving_logs.py
+++ b/celeryfold/proxy/tests/test_leaving_logs.py
@@ -441,8 +441,8 @@
     check_nothing_lost(run_scenario(scenario))
 
 
-# Guards against commits that an instance has heard of: a dropped replica came back in an
-# outage of the store, acknowledged alone, and started again empty.
+# Guards against the loss of commits that an instance has heard of: a dropped replica
+# came back in an outage of the store, acknowledged alone, and started again empty.
 def test_a_replaced_replica_is_waited_for_while_its_commits_are_remembered():
     async def scenario(deployment: SimulatedDeployment) -> None:
         replicas = deployment.replicas
