--- a/celeryfold/accounts/tests/test_rate_bound.py
+++ b/celeryfold/accounts/tests/test_rate_bound.py
@@ -383,3 +383,23 @@
         model.run(20.0)
         served.append(sum(n for _, n in model.started))
     assert served[1] >= served[0]
+
+
+def run_late_halves(delay_s: float, keeps_record: bool) -> RateModel:
+    """Restart all instances; two halves of them find each other late."""
+    model = RateModel(LARGE, n_instances=4, keeps_record=keeps_record)
+    model.run(2.0)
+    restart_together(model, model.order)
+    model.cut(set(model.order[:2]))
+    model.run(delay_s)
+    model.cuts.clear()
+    model.run(30.0)
+    return model
+
+
+# Guards against halves that each take themselves for the whole after a restart of all.
+@pytest.mark.parametrize("delay_s", [4.4, 8.0, 12.0])
+def test_halves_that_find_each_other_late_after_a_restart_keep_the_bound(delay_s):
+    limit = compute_limit(LARGE)
+    assert run_late_halves(delay_s, True).count_densest() <= limit
+    assert run_late_halves(delay_s, False).count_densest() > limit
