Do not take an empty replica for its former self under a new holder

A member that answers without a log, for the first time less than 2.5 s ago, is now waited for if the others may lack commits: they are below the highest position heard, or none is known. By then a started upstream has registered. The log names such members. A usual failover has none. The fence's test asks its members once before, as a holder has.

test_a_new_holder_does_not_take_an_empty_replica_for_its_former_self failed before where all processes had been lost.

--- a/celeryfold/proxy/control_book.py
+++ b/celeryfold/proxy/control_book.py
@@ -51,6 +51,8 @@
 # Time for a dropped member to answer a statement of a failover attempt: opening a
 # connection and the statement take 180 ms between regions.
 DROPPED_TIMEOUT_S = 0.3
+# A started upstream registers within this time, and the entry has been read.
+REGISTRATION_S = 2.5
 # At most this many of the latest dropped members are asked.
 N_DROPPED_ASKED = 8
 
@@ -94,6 +96,8 @@
         # asked yet, and those that turned out not to be there.
         self._found: set[Member] = set()
         self._refuted: set[UpstreamId] = set()
+        # When members first returned a status.
+        self._first_status_at: dict[Member, float] = {}
         # Where members ran whose address another upstream has, as far as it is known.
         self._taken_addresses: dict[Member, str] = {}
         # When a statement of a failover attempt to a dropped member timed out.
@@ -381,6 +385,8 @@
         if status is not None and not self._contacts.record_status(member, status):
             _log_other_incarnation(member, status)
             status = None
+        if status is not None:
+            self._first_status_at.setdefault(member, self._clock())
         self._apply_contact(member)
         return status
 
@@ -453,6 +459,16 @@
         control = self._find(member)
         return control is not None and control.upstream.is_leaving
 
+    def is_unconfirmed(self, member: Member) -> bool:
+        """Return whether another incarnation may have answered for a member.
+
+        One that has started again registers within this time, and so do the others
+        that were listed before. Until then nothing tells them apart, unless a position
+        of the member is known from before.
+        """
+        first_at = self._first_status_at.get(member, self._clock())
+        return self._clock() - first_at < REGISTRATION_S
+
     def find_stopped(self) -> dict[Member, str]:
         """Return the members whose hosts refuse connections, with their addresses."""
         return {
@@ -564,6 +580,7 @@
         log.info("member dropped", extra={**extra, "contact": contact.value})
         control = self._controls.pop(member, None)
         self._contacts.forget(member)
+        self._first_status_at.pop(member, None)
         if not may_return:
             self._open_statements.forget(member)
         if control is None:
--- a/celeryfold/proxy/guardian.py
+++ b/celeryfold/proxy/guardian.py
@@ -596,6 +596,10 @@
             newest,
             absent=sorted({member.upstream_id for member in silent}),
             resuming=sorted({member.upstream_id for member in resuming}),
+            unconfirmed=sorted(
+                member.upstream_id
+                for member in self._fence.list_unconfirmed(self._fence.fenced)
+            ),
             told=told,
             waits_for=[self._describe(member) for member in silent],
         )
--- a/celeryfold/proxy/promotion_fence.py
+++ b/celeryfold/proxy/promotion_fence.py
@@ -387,7 +387,7 @@
             if status.role is UpstreamRole.REPLICA
         }
         missing = self._ack_set.list_missing()
-        return choose_successor(
+        chosen = choose_successor(
             self._ack_set.members - self._find_mistaken(replicas),
             self._controls.find_progress(replicas, missing),
             self._newest.upstream if self._newest is not None else None,
@@ -397,6 +397,33 @@
             self._controls.find_addresses(),
             self._final_positions.find_valid(self._find_targets(), replicas),
         )
+        if chosen is None or self.list_unconfirmed(replicas, chosen):
+            return None
+        return chosen
+
+    def list_unconfirmed(
+        self, statuses: Mapping[Member, UpstreamStatus], chosen: Member | None = None
+    ) -> list[Member]:
+        """Return the members whose answers may be those of an empty incarnation.
+
+        They are waited for until entries tell, if they could have held more than all
+        others.
+
+        :param chosen: the member to promote, or None for the most advanced one.
+        """
+        reached = max((s.received for s in statuses.values()), default=None)
+        if chosen is not None:
+            reached = statuses[chosen].received
+        told = self._samples.find_highest_position(self._service)
+        if reached is None or (told is not None and told <= reached):
+            return []
+        return [
+            member
+            for member, status in statuses.items()
+            if not status.received.number
+            and status.received < reached
+            and self._controls.is_unconfirmed(member)
+        ]
 
     def _choose_complete(self, final: LogPosition) -> Member | None:
         """Return a fenced member that holds all entries, one that stays if possible."""
--- a/celeryfold/proxy/tests/test_promotion_fence.py
+++ b/celeryfold/proxy/tests/test_promotion_fence.py
@@ -9,7 +9,7 @@
 from celeryfold.kernel.ids import Position, ServiceId, Term, UpstreamId
 from celeryfold.kernel.metrics import Metrics
 from celeryfold.proxy.ack_set import AckSet
-from celeryfold.proxy.control_book import ControlConnections
+from celeryfold.proxy.control_book import REGISTRATION_S, ControlConnections
 from celeryfold.proxy.final_positions import FinalPositions
 from celeryfold.proxy.members import Member
 from celeryfold.proxy.positions import LogPosition
@@ -66,8 +66,10 @@
         return True
 
     async def begin(self) -> None:
-        """Take the primary away and pause the replicas."""
+        """Take the primary away and pause the replicas, which have been known before."""
         self.refresh()
+        await self.controls.read_statuses()
+        await trio.sleep(REGISTRATION_S)
         self.replicas.crash(FIRST)
         replicas = self.controls.list_except(FIRST)
         statuses = await self.controls.read_statuses(replicas)
--- a/celeryfold/proxy/tests/test_unlisted_members.py
+++ b/celeryfold/proxy/tests/test_unlisted_members.py
@@ -427,3 +427,45 @@
             nursery.cancel_scope.cancel()
 
     trio.run(run)
+
+
+# Guards against soak seed 836: a replica that started again empty answered a new holder
+# under its former id, before it was listed, and its commits were lost.
+@pytest.mark.parametrize("is_memory_lost", [False, True])
+def test_a_new_holder_does_not_take_an_empty_replica_for_its_former_self(
+    is_memory_lost,
+):
+    async def scenario(deployment: SimulatedDeployment) -> None:
+        replicas = deployment.replicas
+        await write(deployment, 1, 1.0)
+        await acknowledge_alone(deployment)
+        await trio.sleep(1.0)
+        guardian = deployment.find_guardian()
+        assert guardian is not None
+        numbers = range(3) if is_memory_lost else [guardian]
+        for number in numbers:
+            deployment.kill(number)
+        replicas.crash(FIRST)
+        replicas.databases[THIRD].is_replication_cut = True
+        # Its former entry is there until it registers again.
+        replicas.crash(THIRD)
+        deployment.rewrites_unchanged_entries = False
+        if is_memory_lost:
+            await trio.sleep(0.5)
+            for number in numbers:
+                await deployment.start_again(number)
+            await trio.sleep(1.5)
+        else:
+            await trio.sleep(2.0)
+        replicas.restart(THIRD, is_empty=True)
+        deployment.unregistered.add(THIRD)
+        await trio.sleep(1.0)
+        deployment.unregistered.clear()
+        await trio.sleep(6.0)
+        assert not replicas.promotions
+        replicas.restart(FIRST)
+        replicas.databases[SECOND].is_replication_cut = False
+        replicas.databases[THIRD].is_replication_cut = False
+        await wait_written(deployment, (guardian + 1) % 3, 20.0)
+
+    check_nothing_lost(run_scenario(scenario))
