--- a/celeryfold/proxy/tests/test_promotion_fence.py
+++ b/celeryfold/proxy/tests/test_promotion_fence.py
@@ -66,7 +66,7 @@
         return True
 
     async def begin(self) -> None:
-        """Take the primary away and pause the replicas, which have been known before."""
+        """Take the primary away and pause the replicas, known from before."""
         self.refresh()
         await self.controls.read_statuses()
         await trio.sleep(REGISTRATION_S)
