Reserve the ports of processes until the deployment is closed

Cause: ports of processes were chosen by binding and closing a socket, long before the process listened. Until then, and while it was stopped, the kernel could give the port to an outgoing connection or to another run. Tried: a connection from such a port keeps a server from listening (EADDRINUSE). The process then exits, and all that was reported is "a group has no started primary" after 30 s.

Change: PortReservation keeps the ports bound with SO_REUSEADDR and without listening; the deployments of the bench and of the soak use it. The error of a deployment that does not start names the processes that exited, with the last line of the log, and comes at once.

--- a/celeryfold/bench/processes.py
+++ b/celeryfold/bench/processes.py
@@ -5,14 +5,12 @@
 __all__ = [
     "ProcessDeployment",
     "ProcessDeploymentSettings",
-    "find_free_ports",
     "publish_until_stored",
     "run_process_deployment",
 ]
 
 import json
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -37,6 +35,7 @@
 from ..standins.faults import FaultsBody
 from ..wire.client import HttpClient, ResponseLost, Unreachable
 from .deployments import ENTRIES, ENTRIES_SCHEMA
+from .ports import PortReservation
 
 T = TypeVar("T")
 
@@ -46,17 +45,6 @@
 SERVICE = ENTRIES.service
 
 
-def find_free_ports(n_ports: int) -> list[int]:
-    """Return ports of the loopback address that are currently free."""
-    sockets = [socket.socket() for _ in range(n_ports)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
-
-
 @dataclass(frozen=True)
 class ProcessDeploymentSettings:
     """Number of processes of each kind, and the settings of the slots.
@@ -88,8 +76,8 @@
         self.settings = settings or ProcessDeploymentSettings()
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         n_slots = self.settings.n_groups * self.settings.n_slots
-        ports = find_free_ports(2 + 3 * self.settings.n_instances + n_slots)
-        self._ports = iter(ports)
+        self._reserved = PortReservation(2 + 3 * self.settings.n_instances + n_slots)
+        self._ports = iter(self._reserved.ports)
         self.store_address = self._allocate_address()
         self.list_address = self._allocate_address()
         self.caller_addresses: dict[str, str] = {}
@@ -204,20 +192,34 @@
         if scope.cancelled_caught:
             raise BadInput(
                 f"{self.folder}: a stand-in does not accept connections; see its log"
+                f"{self._describe_exits()}"
             )
 
+    def _describe_exits(self) -> str:
+        """Return which processes exited, each with the last line of its log."""
+        texts = []
+        for name, process in self.processes.items():
+            if process.poll() is not None:
+                log = (self.folder / f"{name}.log").read_text(errors="replace")
+                last = log.splitlines()[-1] if log else "empty log"
+                texts.append(f"; {name} exited, status {process.returncode}: {last}")
+        return "".join(texts)
+
     async def wait_ready(self, names: list[str]) -> None:
         """Wait until instances know a started primary of each group.
 
-        :raises BadInput: if they do not within ``READY_TIMEOUT_S``.
+        :raises BadInput: if they do not within ``READY_TIMEOUT_S``, or one has exited.
         """
         with trio.move_on_after(READY_TIMEOUT_S) as scope:
             for name in names:
                 while not await self._is_ready(name):
+                    if any(self.processes[n].poll() is not None for n in names):
+                        scope.cancel()
                     await trio.sleep(READY_CHECK_S)
         if scope.cancelled_caught:
             raise BadInput(
                 f"{self.folder}: a group has no started primary; see the logs"
+                f"{self._describe_exits()}"
             )
 
     async def _is_ready(self, name: str) -> bool:
@@ -286,12 +288,13 @@
         return Catalog(self.objects)
 
     def close(self) -> None:
-        """Kill all processes and wait for their end."""
+        """Kill all processes, wait for their end and free the ports."""
         for process in self.processes.values():
             if process.poll() is None:
                 process.kill()
         for process in self.processes.values():
             process.wait()
+        self._reserved.close()
 
 
 async def publish_until_stored(store: Store, objects: ObjectSet) -> None:
--- a/celeryfold/platform/tests/test_process.py
+++ b/celeryfold/platform/tests/test_process.py
@@ -7,14 +7,14 @@
 import signal
 import subprocess
 import sys
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
 
 import msgspec
 import pytest
 import trio
 
-from celeryfold.bench.processes import find_free_ports
+from celeryfold.bench.ports import PortReservation
 from celeryfold.exceptions import BadInput
 from celeryfold.platform.lines import MAX_LINE_BYTES, LineStream, open_line_stream
 from celeryfold.platform.settings import SETTINGS_VARIABLE, load_platform_settings
@@ -60,7 +60,7 @@
 
 
 def write_settings(
-    folder: Path, standin: PlatformStandin, ports: list[int], **further: object
+    folder: Path, standin: PlatformStandin, ports: Sequence[int], **further: object
 ) -> Path:
     clients, probes, peers = (f"127.0.0.1:{port}" for port in ports[:3])
     settings = {
@@ -96,14 +96,17 @@
 
 def run_scenario(
     folder: Path,
-    scenario: Callable[[PlatformStandin, list[int], subprocess.Popen], Awaitable[None]],
+    scenario: Callable[
+        [PlatformStandin, Sequence[int], subprocess.Popen], Awaitable[None]
+    ],
     **settings_fields: object,
 ) -> str:
     """Run a scenario against a process of the program; return its log output.
 
     :param settings_fields: further fields of the settings.
     """
-    ports = find_free_ports(4)
+    reservation = PortReservation(4)
+    ports = reservation.ports
     output = folder / "output"
 
     async def run() -> None:
@@ -124,7 +127,10 @@
                     process.wait()
             nursery.cancel_scope.cancel()
 
-    trio.run(run)
+    try:
+        trio.run(run)
+    finally:
+        reservation.close()
     return output.read_text()
 
 
--- a/celeryfold/soak/deployment.py
+++ b/celeryfold/soak/deployment.py
@@ -5,9 +5,7 @@
 __all__ = ["SoakDeployment"]
 
 import os
-import random
 import signal
-import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -16,6 +14,7 @@
 import msgspec
 import trio
 
+from ..bench.ports import PortReservation
 from ..exceptions import Unreadable
 from ..kernel.decoding import decode_json
 from ..kernel.ids import UpstreamId
@@ -42,36 +41,10 @@
 N_DATABASES = 3
 # Time for instances to learn of a lost log and to find its commits elsewhere.
 LOSS_INTERVAL_S = 8.0
-# Below the kernel's range for outgoing connections, which could take the port of a
-# process while it is stopped.
-FIRST_PORT = 10_000
-LAST_PORT = 30_000
-# Ports of instances are free for a while after they were chosen, and those of stopped
-# databases, so they come from ranges of their own.
-FIRST_INSTANCE_PORT = 15_000
 # A client that does not read its answer ends its session.
 EXPECTED_ERRORS = ("trio.TooSlowError",)
 
 
-def _find_free_ports(n_ports: int, ports: range) -> list[int]:
-    """Return free ports of the loopback address.
-
-    :param ports: the ports to choose from.
-    """
-    found: list[int] = []
-    for port in random.sample(ports, len(ports)):
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                # Another process uses the port.
-                continue
-        found.append(port)
-        if len(found) == n_ports:
-            break
-    return found
-
-
 def _read_error(line: str) -> tuple[str, str]:
     """Return the message of a log line and the last line of its traceback."""
     try:
@@ -87,7 +60,7 @@
     The forwarders `clients` and `store` lead to its client port and to the store.
     """
 
-    def __init__(self, number: int, ports: list[int], store_port: int) -> None:
+    def __init__(self, number: int, ports: tuple[int, ...], store_port: int) -> None:
         self.name = f"proxy-{number}"
         self.place = PLACES[number % len(PLACES)]
         self.ports = ports
@@ -122,6 +95,8 @@
         self.n_membership_faults = 0
         # When logs of databases were lost that did not leave a copy.
         self._losses_at: list[float] = []
+        # Processes and databases that are stopped keep their ports.
+        self._reservations: list[PortReservation] = []
         self._n_ids = N_DATABASES
         self._nursery: trio.Nursery | None = None
         self._n_instances = n_instances
@@ -136,8 +111,7 @@
             await self._forward(database)
         self.publish()
         nursery.start_soon(self._refuse_connections)
-        choice = range(FIRST_INSTANCE_PORT, LAST_PORT)
-        ports = _find_free_ports(N_PORTS * self._n_instances, choice)
+        ports = self._reserve_ports(N_PORTS * self._n_instances)
         for number in range(self._n_instances):
             own = ports[number * N_PORTS : (number + 1) * N_PORTS]
             instance = _Instance(number, own, self.standin.http.port)
@@ -148,11 +122,16 @@
             self._write_settings(instance)
             nursery.start_soon(self._run, instance)
 
+    def _reserve_ports(self, n_ports: int) -> tuple[int, ...]:
+        reservation = PortReservation(n_ports)
+        self._reservations.append(reservation)
+        return reservation.ports
+
     async def _forward(self, database: Database) -> None:
         """Put a forwarder before a database."""
         assert self._nursery is not None
         forwarder = Forwarder(int(database.upstream.address.rpartition(":")[2]))
-        (port,) = _find_free_ports(1, range(FIRST_PORT, FIRST_INSTANCE_PORT))
+        (port,) = self._reserve_ports(1)
         await forwarder.start(self._nursery, port)
         self.databases[database.upstream.upstream_id] = forwarder
         database.upstream = msgspec.structs.replace(
@@ -421,9 +400,11 @@
         return own + list(self.databases.values())
 
     def close(self) -> None:
-        """Kill all processes."""
+        """Kill all processes and free their ports."""
         self._is_closing = True
         for instance in self.instances:
             self.signal(instance, signal.SIGKILL)
             if instance.process is not None:
                 instance.process.wait()
+        for reservation in self._reservations:
+            reservation.close()
--- a/celeryfold/tests/test_processes.py
+++ b/celeryfold/tests/test_processes.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import signal
+import socket
 from pathlib import Path
 
 import msgspec
@@ -17,6 +18,7 @@
 from celeryfold.bench.deployments import ENTRIES
 from celeryfold.bench.processes import SERVICE, ProcessDeployment
 from celeryfold.entry.requests import Mode, StatementRequest, StatementResponse
+from celeryfold.exceptions import BadInput
 
 
 @pytest.fixture
@@ -108,3 +110,25 @@
     served = [item for item in answers if isinstance(item, StatementResponse)]
     assert len(served) >= 50
     assert msgspec.json.encode(served[0])
+
+
+def test_a_deployment_names_a_process_that_did_not_start(deployment, monkeypatch):
+    """A port that was taken was reported as a group without a started primary."""
+    start_instance = deployment.start_instance
+
+    async def run() -> None:
+        with socket.socket() as taken:
+            taken.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+
+            def start_without_port(name: str) -> None:
+                if name == "i2":
+                    host, _, port = deployment.caller_addresses[name].partition(":")
+                    taken.bind((host, int(port)))
+                    taken.listen()
+                start_instance(name)
+
+            monkeypatch.setattr(deployment, "start_instance", start_without_port)
+            with pytest.raises(BadInput, match="i2 exited, status 2: .*already in use"):
+                await deployment.start()
+
+    trio.run(run)
