Forget that an address was taken once its former member has another one

Cause: a holder without memory does not wait for a dropped member whose address has passed to a member that is paused. Which addresses were taken was kept for good, so that a member that moved, was listed or recorded at its new address and was dropped there counted as replaced, and another one could be promoted without its commits.

Change: an entry, or a record with another address, ends it.

Failed before: test_a_member_that_has_moved_does_not_count_as_replaced (2 cases). 65 tests of leaving logs and unlisted members pass.

--- a/celeryfold/proxy/control_book.py
+++ b/celeryfold/proxy/control_book.py
@@ -113,6 +113,7 @@
                 self._contacts.forget_last(member)
             known.upstream = upstream
             self._controls[member] = known
+            self._taken_addresses.pop(member, None)
             # A dropped incarnation of this upstream does not come back.
             for dropped in list(self._dropped):
                 if dropped.upstream_id == upstream.upstream_id:
@@ -154,6 +155,8 @@
                 member in leaving,
             )
             known = self._find(member) or self._make_control(upstream)
+            if self._taken_addresses.get(member) != recorded.address:
+                self._taken_addresses.pop(member, None)
             if member in members:
                 self._controls[member] = known
                 self._dropped.pop(member, None)
--- a/celeryfold/proxy/tests/test_unlisted_members.py
+++ b/celeryfold/proxy/tests/test_unlisted_members.py
@@ -355,6 +355,34 @@
     run_with_controls(check)
 
 
+# Guards against a promotion without a member that has moved, once another upstream had
+# taken its former address.
+@pytest.mark.parametrize("is_listed", [True, False], ids=["listed", "in the record"])
+def test_a_member_that_has_moved_does_not_count_as_replaced(is_listed):
+    async def check(replicas: ReplicaSet, controls: ControlConnections) -> None:
+        upstream = replicas.databases[THIRD].upstream
+        other = Upstream(
+            UpstreamId("other"), SERVICE, upstream.address, upstream.place, 0, 9
+        )
+        third, held = Member(THIRD, 1), Member(other.upstream_id, 9)
+        controls.refresh(replicas.list_upstreams())
+        replicas.crash(THIRD)
+        await controls.drop(third, may_return=True)
+        del replicas.databases[THIRD]
+        await controls.seek_dropped()
+        controls.refresh([other])
+        assert controls.list_replaced([third], [held]) == [third]
+        if is_listed:
+            moved = msgspec.structs.replace(upstream, address="10.0.0.9:5000")
+            controls.refresh([moved])
+        else:
+            recorded = MemberAddress(THIRD, 1, "10.0.0.9:5000")
+            controls.restore([recorded], (), [third])
+        assert not controls.list_replaced([third], [held])
+
+    run_with_controls(check)
+
+
 # Guards against more and more members that are asked for ever.
 def test_the_number_of_dropped_members_that_are_asked_is_bounded():
     async def check(replicas: ReplicaSet, controls: ControlConnections) -> None:
