Let parts of the fleet that lost each other find each other again

Cause: watchers contact the watchers that they take for alive, and others their own watcher. Two parts of the fleet with a watcher in every data centre each never ask across, so that they stay apart for good, each with rate coordinators of its own.

Change: with each exchange of known instances a watcher contacts one that is lost, or a seed.

--- a/celeryfold/proxy/gossip.py
+++ b/celeryfold/proxy/gossip.py
@@ -73,7 +73,8 @@
         """Exchange updates at each interval, until cancelled.
 
         After two intervals without a message from any peer, a random one is contacted
-        as well.
+        as well. Watchers also contact one that they have lost, with each exchange of
+        the known instances but the first ones.
         """
         for number in itertools.count():
             chosen = self._peers.choose_targets()
@@ -81,6 +82,8 @@
                 chosen += self._peers.choose_random()
             is_new = number < N_STARTUP_ROUNDS
             wants_peers = is_new or number % N_ROUNDS_PER_MEMBER_EXCHANGE == 0
+            if wants_peers and not is_new:
+                chosen += self._peers.choose_lost()
             async with trio.open_nursery() as nursery:
                 for address in set(chosen):
                     nursery.start_soon(self._ask, address, wants_peers)
--- a/celeryfold/proxy/peers.py
+++ b/celeryfold/proxy/peers.py
@@ -236,6 +236,19 @@
         addresses = list(dict.fromkeys([*known, *self._seeds]))
         return [random.choice(addresses)] if addresses else []
 
+    def choose_lost(self) -> list[str]:
+        """Return the address of a random instance that is not alive, for a watcher.
+
+        Known instances and seeds are chosen from. After a partition each part of the
+        fleet may have watchers of all data centres, which contact only each other.
+        """
+        if not self.is_watcher():
+            return []
+        alive = {peer.address for peer in self.list_present()}
+        known = [entry.peer.address for entry in self._known.values()]
+        lost = [a for a in dict.fromkeys([*known, *self._seeds]) if a not in alive]
+        return random.sample(lost, min(len(lost), 1))
+
     def list_watcher_addresses(self) -> list[str]:
         """Return the addresses of all other watchers."""
         watchers = self.find_watchers().values()
--- a/celeryfold/proxy/tests/test_peers.py
+++ b/celeryfold/proxy/tests/test_peers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import itertools
+
 import pytest
 import trio
 import trio.testing
@@ -14,6 +16,8 @@
 from celeryfold.standins.deployment import SimulatedDeployment
 
 REGIONS = {PlaceId(p): RegionId(p[0]) for p in ("a1", "a2", "a3", "b1", "b2", "b3")}
+# Some exchanges with an instance chosen at random among those that are lost.
+HEALING_S = 15.0
 MEMBERS_S = EXCHANGE_INTERVAL_S * N_ROUNDS
 
 
@@ -106,3 +110,28 @@
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
     assert known_at[0] <= 2.0
+
+
+# Guards against halves of the fleet that stay apart for good after a partition, each of
+# them with a watcher of every data centre: their members asked nobody else.
+@pytest.mark.parametrize("cut_s", [8.0, 40.0])
+def test_halves_find_each_other_after_a_partition(cut_s):
+    deployment = SimulatedDeployment(n_instances=6)
+    known: list[int] = []
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            await deployment.start(nursery)
+            names = [i.settings.instance_id for i in deployment.instances]
+            for one, other in itertools.product(names[:3], names[3:]):
+                deployment.network.cut_between(one, other)
+                deployment.network.cut_between(other, one)
+            await trio.sleep(cut_s)
+            assert len(deployment.instances[5].peers.list_alive()) == 2
+            deployment.network.heal()
+            await trio.sleep(HEALING_S)
+            known.extend(len(i.peers.list_alive()) for i in deployment.instances)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert known == [5] * 6
