--- a/celeryfold/bench/ports.py
+++ b/celeryfold/bench/ports.py
@@ -32,8 +32,8 @@
 
 def _bind_any_port() -> socket.socket:
     sock = socket.socket()
-    # Set after the port was assigned: with the option, the kernel may assign the port
-    # of another such socket.
     sock.bind((LOOPBACK, 0))
+    # Not before the port was assigned: with the option, the kernel may assign the port
+    # of another socket that has it.
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     return sock
--- a/celeryfold/bench/tests/test_ports.py
+++ b/celeryfold/bench/tests/test_ports.py
@@ -1,6 +1,6 @@
-"""Guards reserved ports against other sockets of the host.
+"""Reserved ports are kept from other sockets of the host.
 
-Servers could not be started, as outgoing connections had taken their ports.
+Guards against servers that cannot start, as an outgoing connection has their port.
 """
 
 from __future__ import annotations
--- a/celeryfold/proxy/peers.py
+++ b/celeryfold/proxy/peers.py
@@ -237,10 +237,10 @@
         return [random.choice(addresses)] if addresses else []
 
     def choose_lost(self) -> list[str]:
-        """Return the address of a random instance that is not alive, for a watcher.
+        """Return the address of a random known instance or seed that is not alive.
 
-        Known instances and seeds are chosen from. After a partition each part of the
-        fleet may have watchers of all data centres, which contact only each other.
+        Only a watcher gets one. After a partition each part of the fleet may have
+        watchers of all data centres, which otherwise contact only each other.
         """
         if not self.is_watcher():
             return []
--- a/celeryfold/soak/run.py
+++ b/celeryfold/soak/run.py
@@ -29,7 +29,8 @@
 FIRST_CHANGE_S = 0.5
 MIN_CHANGE_INTERVAL_S = 1.5
 MAX_CHANGE_INTERVAL_S = 4.0
-# Limits of the time for which faults go on until a primary is lost.
+# For how long faults may go on until a primary is lost, and how long after that: all
+# processes are killed within 0.5 s of the loss.
 MAX_EXTENSION_S = 40.0
 AFTER_LOSS_S = 1.0
 
